--- a/wagtailwharfd/main.go
+++ b/wagtailwharfd/main.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -111,6 +113,9 @@
 }
 
 func startLogs(logs io.Writer, settings wharfsettings.Settings) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("v", strconv.Itoa(settings.LogLevel))
 	handler := slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: slog.Level(-settings.LogLevel)})
 	logger := slog.New(handler).With("host", settings.Host, "availability-zone", settings.Zone)
 	klog.SetSlogLogger(logger)
--- a/wharf-load/wharfstack/stack.go
+++ b/wharf-load/wharfstack/stack.go
@@ -286,6 +286,7 @@
 peers = %q
 operators = %q
 platform = %q
+log-level = 1
 
 [lease]
 term = %q
--- a/wharf/coordination/wharfbatch/adopt.go
+++ b/wharf/coordination/wharfbatch/adopt.go
@@ -19,7 +19,6 @@
 	adoptPeriod = 2 * time.Second
 	adoptLimit  = 20 * time.Second
 	staleAfter  = 4 * beatPeriod
-	mostAdopted = 8 // claims in one round
 )
 
 type sighting struct {
@@ -27,8 +26,8 @@
 	since   time.Time
 }
 
-// adoptLoop has one host of the zone take over the chunks of incarnations that are gone, and end jobs whose last
-// commit nobody followed up. A claim that has not changed for long is taken over from any zone: the table sees
+// adoptLoop has one host of the zone free the claims of incarnations that are gone, and end jobs whose last
+// commit nobody followed up. A claim that has not changed for long is freed whatever its zone: the table sees
 // to it that only one owner can complete it.
 func (r *Runner) adoptLoop(ctx context.Context) {
 	ticker := time.NewTicker(adoptPeriod)
@@ -41,14 +40,13 @@
 			return
 		}
 		if r.mayClaim() && r.isFirst("adopt") {
-			r.adoptSome(ctx, seen)
+			r.freeOrphans(ctx, seen)
 			r.endJobs(ctx)
 		}
 	}
 }
 
-func (r *Runner) adoptSome(ctx context.Context, seen map[string]sighting) {
-	work := ctx
+func (r *Runner) freeOrphans(ctx context.Context, seen map[string]sighting) {
 	ctx, cancel := context.WithTimeout(ctx, adoptLimit)
 	defer cancel()
 	zones, err := wharfmember.Zones(ctx, r.options.Storage)
@@ -72,9 +70,9 @@
 			delete(seen, key)
 		}
 	}
-	for _, row := range orphans[:min(len(orphans), mostAdopted)] {
-		if err := r.adopt(work, ctx, row); err != nil {
-			klog.V(1).InfoS("claim not adopted", "claim", row.Key, "error", err.Error())
+	for _, row := range orphans {
+		if err := r.free(ctx, row); err != nil {
+			klog.V(1).InfoS("claim not freed", "claim", row.Key, "error", err.Error())
 		}
 	}
 }
@@ -92,7 +90,7 @@
 	} else if now.Sub(last.since) > staleAfter {
 		return true
 	}
-	if owner.Zone != r.options.Zone {
+	if owner.Zone != r.options.Zone || owner == wharfjob.Free(owner.Zone) {
 		return false
 	}
 	for i := range zones {
@@ -103,12 +101,8 @@
 	return true
 }
 
-// adopt moves a claim, with the results committed so far, to this incarnation.
-func (r *Runner) adopt(work, ctx context.Context, row wharfrow.Row) error {
-	view := r.options.Member.View()
-	if !view.InForce(time.Now()) {
-		return nil
-	}
+// free moves a claim, with the results committed so far, to those that nobody holds, or drops it if its job has ended.
+func (r *Runner) free(ctx context.Context, row wharfrow.Row) error {
 	var claim wharfjob.Claim
 	if err := json.Unmarshal(row.Value, &claim); err != nil {
 		return trace.Wrap(err)
@@ -117,21 +111,34 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	writes := []wharfrow.Write{wharfstorage.Delete(row.Key)}
+	if job.State == wharfjob.InProgress {
+		key := wharfjob.ClaimKey(wharfjob.Free(r.options.Zone), claim.Job, claim.Chunk)
+		writes = append(writes, wharfstorage.Put(key, claim))
+	}
 	conditions := []wharfrow.Condition{wharfstorage.At(row.Key, row.Version)}
-	if job.State != wharfjob.InProgress {
-		return trace.Wrap(wharfstorage.Commit(ctx, r.options.Storage, conditions, wharfstorage.Delete(row.Key)))
+	return trace.Wrap(wharfstorage.Commit(ctx, r.options.Storage, conditions, writes...))
+}
+
+// adopt takes a free claim for this incarnation and queues the items that have no committed result.
+func (r *Runner) adopt(work, ctx context.Context, row wharfrow.Row, claim wharfjob.Claim) (int, error) {
+	view := r.options.Member.View()
+	if !view.InForce(time.Now()) {
+		return 0, trace.Wrap(wharfrow.ErrConflict)
 	}
-	owner := wharfjob.Owner{Zone: r.options.Zone, Host: view.Self.Host, Epoch: view.Self.Epoch}
-	key := wharfjob.ClaimKey(owner, claim.Job, claim.Chunk)
-	err = wharfstorage.Commit(ctx, r.options.Storage, conditions,
-		wharfstorage.Delete(row.Key), wharfstorage.Put(key, claim))
+	job, _, err := wharfstorage.Read[wharfjob.Job](ctx, r.options.Storage, wharfjob.JobKey(claim.Job))
 	if err != nil {
-		return trace.Wrap(err)
+		return 0, trace.Wrap(err)
+	}
+	key := wharfjob.ClaimKey(r.owner(view), claim.Job, claim.Chunk)
+	conditions := []wharfrow.Condition{wharfstorage.At(row.Key, row.Version)}
+	err = wharfstorage.Commit(ctx, r.options.Storage, conditions, wharfstorage.Put(key, claim), wharfstorage.Delete(row.Key))
+	if err != nil {
+		return 0, trace.Wrap(err)
 	}
-	klog.InfoS("claim adopted", "job", claim.Job, "chunk", claim.Chunk, "from", row.Key)
+	klog.InfoS("claim adopted", "job", claim.Job, "chunk", claim.Chunk)
 	open := wharfjob.Open{Job: job.ID, Organisation: job.Organisation, FileID: job.FileID, Service: job.Service, Deadline: job.Deadline}
-	_, err = r.load(work, ctx, open, claim, key)
-	return trace.Wrap(err)
+	return r.load(work, ctx, open, claim, key)
 }
 
 // endJobs completes the jobs whose chunks are all done.
--- a/wharf/coordination/wharfbatch/claim.go
+++ b/wharf/coordination/wharfbatch/claim.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"wagtailwharf.example/wharf/coordination/wharfmember"
 	"wagtailwharf.example/wharf/coordination/wharfstorage"
 	"wagtailwharf.example/wharf/state/wharfjob"
 	"wagtailwharf.example/wharf/state/wharfrank"
@@ -19,8 +20,9 @@
 )
 
 const (
-	offersPage = 1000
-	served     = 0.9 // share of the served count that is kept at each round of claims
+	offersPage  = 1000
+	sweepPeriod = 2 * claimLimit
+	served      = 0.9 // share of the served count that is kept at each round of claims
 )
 
 type offer struct {
@@ -33,6 +35,8 @@
 	ticker := time.NewTicker(claimPeriod)
 	defer ticker.Stop()
 	saved := time.Now()
+	swept := time.Now()
+	unheld := map[string]bool{}
 	for {
 		if wanted := r.wanted(); len(wanted) > 0 && r.mayClaim() {
 			r.claimSome(ctx, wanted)
@@ -41,6 +45,10 @@
 			saved = time.Now()
 			r.work.Go(func() { r.saveAll(ctx) })
 		}
+		if time.Since(swept) >= sweepPeriod {
+			swept = time.Now()
+			unheld = r.freeUnheld(ctx, unheld)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -58,12 +66,12 @@
 func (r *Runner) claimSome(ctx context.Context, wanted map[string]int) {
 	limited, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
+	claimed := r.claimFree(ctx, limited, wanted)
 	offers, err := r.offers(limited, wanted)
 	if err != nil {
 		return
 	}
 	r.order(offers)
-	claimed := 0
 	for _, o := range offers {
 		if wanted[o.open.Service] <= 0 || claimed >= readyChunks {
 			continue
@@ -81,6 +89,29 @@
 	}
 }
 
+// claimFree takes claims that nobody holds any more, which are older than what the open jobs still offer.
+func (r *Runner) claimFree(work, ctx context.Context, wanted map[string]int) int {
+	free, err := r.options.Storage.Scan(ctx, wharfjob.OwnerPrefix(wharfjob.Free(r.options.Zone)), "", offersPage)
+	if err != nil {
+		return 0
+	}
+	claimed := 0
+	for _, row := range free {
+		var claim wharfjob.Claim
+		if err := json.Unmarshal(row.Value, &claim); err != nil || wanted[claim.Service] <= 0 || claimed >= readyChunks {
+			continue
+		}
+		items, err := r.adopt(work, ctx, row, claim)
+		if err != nil {
+			klog.V(1).InfoS("claim not adopted", "claim", row.Key, "error", err.Error())
+			continue
+		}
+		claimed++
+		wanted[claim.Service] -= items
+	}
+	return claimed
+}
+
 // offers reads the open jobs that have unclaimed chunks for the wanted services.
 func (r *Runner) offers(ctx context.Context, wanted map[string]int) ([]offer, error) {
 	var offers []offer
@@ -145,9 +176,8 @@
 	if !view.InForce(time.Now()) {
 		return 0, trace.Wrap(wharfrow.ErrConflict)
 	}
-	owner := wharfjob.Owner{Zone: r.options.Zone, Host: view.Self.Host, Epoch: view.Self.Epoch}
-	claim := wharfjob.Claim{Job: o.open.Job, FileID: o.open.FileID, Chunk: o.open.Next}
-	key := wharfjob.ClaimKey(owner, claim.Job, claim.Chunk)
+	claim := wharfjob.Claim{Job: o.open.Job, FileID: o.open.FileID, Service: o.open.Service, Chunk: o.open.Next}
+	key := wharfjob.ClaimKey(r.owner(view), claim.Job, claim.Chunk)
 	next := o.open
 	next.Next++
 	conditions := []wharfrow.Condition{
@@ -215,6 +245,37 @@
 	r.queueOf(c.open.Service).drop(c)
 }
 
+// freeUnheld frees the claims of this incarnation that it did not hold at the last sweep either, since their
+// loading has failed, and returns those that it does not hold now.
+func (r *Runner) freeUnheld(ctx context.Context, before map[string]bool) map[string]bool {
+	view := r.options.Member.View()
+	if !view.InForce(time.Now()) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	held := map[string]bool{}
+	for _, c := range r.held() {
+		held[wharfjob.ClaimKey(r.owner(view), c.open.Job, c.number)] = true
+	}
+	unheld := map[string]bool{}
+	_ = wharfstorage.ScanAll(ctx, r.options.Storage, wharfjob.OwnerPrefix(r.owner(view)), func(row wharfrow.Row) error {
+		switch {
+		case held[row.Key]:
+		case before[row.Key]:
+			return r.free(ctx, row)
+		default:
+			unheld[row.Key] = true
+		}
+		return nil
+	})
+	return unheld
+}
+
+func (r *Runner) owner(view *wharfmember.View) wharfjob.Owner {
+	return wharfjob.Owner{Zone: r.options.Zone, Host: view.Self.Host, Epoch: view.Self.Epoch}
+}
+
 // isFirst reports whether this host ranks first in its zone for a piece of housekeeping.
 func (r *Runner) isFirst(task string) bool {
 	view := r.options.Member.View()
--- a/wharf/coordination/wharfbatch/commit.go
+++ b/wharf/coordination/wharfbatch/commit.go
@@ -18,23 +18,48 @@
 	beatPeriod   = 15 * time.Second
 	commitRetry  = 500 * time.Millisecond
 	largestRetry = 5 * time.Second
-	freeHost     = "-" // owner of claims that were handed over
 )
 
-// saveAll commits the fresh results of every chunk, so that a kill costs little work.
+// saveAll commits the fresh results of every chunk, so that a kill costs little work, and gives back the chunks
+// whose service this host runs on no endpoint any more.
 func (r *Runner) saveAll(ctx context.Context) {
+	services := r.services()
 	for _, c := range r.held() {
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if c.claimed() && r.hasFresh(c) {
+		case c.ctx.Err() != nil:
+		case services != nil && !services[c.open.Service]:
+			r.giveBack(ctx, c)
+		case r.hasFresh(c):
 			_ = r.save(ctx, c, wharfjob.Owner{})
 		}
 	}
 }
 
-func (c *chunk) claimed() bool {
-	return c.ctx.Err() == nil
+// giveBack frees a chunk for the zone's other hosts, with the results so far.
+func (r *Runner) giveBack(ctx context.Context, c *chunk) {
+	if err := r.save(ctx, c, wharfjob.Free(r.options.Zone)); err != nil {
+		klog.V(1).InfoS("chunk not given back", "job", c.open.Job, "chunk", c.number, "error", err.Error())
+		return
+	}
+	r.drop(c)
+}
+
+// services returns the services that have an endpoint here, or nil while that is not known.
+func (r *Runner) services() map[string]bool {
+	if !r.options.Member.InForce() {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	services := map[string]bool{}
+	for _, e := range r.endpoints {
+		if e.mine {
+			services[e.config.Service] = true
+		}
+	}
+	return services
 }
 
 func (r *Runner) hasFresh(c *chunk) bool {
--- a/wharf/coordination/wharfbatch/runner.go
+++ b/wharf/coordination/wharfbatch/runner.go
@@ -5,12 +5,9 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"wagtailwharf.example/wharf/coordination/wharfmember"
 	"wagtailwharf.example/wharf/coordination/wharfstorage"
 	"wagtailwharf.example/wharf/state/wharfconfig"
-	"wagtailwharf.example/wharf/state/wharfjob"
 	"wagtailwharf.example/wharf/state/wharfpermit"
 	"wagtailwharf.example/wharf/state/wharfrank"
 	"wagtailwharf.example/wharf/state/wharfsnapshot"
@@ -317,10 +314,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
 	for _, c := range r.held() {
-		if err := r.save(ctx, c, wharfjob.Owner{Zone: r.options.Zone, Host: freeHost}); err != nil {
-			klog.V(1).InfoS("chunk not handed over", "job", c.open.Job, "chunk", c.number, "error", err.Error())
-		}
-		c.stop()
+		r.giveBack(ctx, c)
 	}
 }
 
--- a/wharf/coordination/wharfmember/member.go
+++ b/wharf/coordination/wharfmember/member.go
@@ -327,7 +327,7 @@
 func (m *Member) renewByWitness(ctx context.Context) {
 	needed := false
 	_ = m.options.Loop.Do(ctx, func() {
-		needed = m.machine != nil && m.machine.NeedsWitness(m.options.Term*2/renewalsPerTerm, time.Now())
+		needed = m.machine != nil && m.machine.NeedsWitness(m.options.Term/2, time.Now())
 	})
 	if !needed {
 		return
--- a/wharf/state/wharfjob/rows.go
+++ b/wharf/state/wharfjob/rows.go
@@ -71,11 +71,12 @@
 
 // Claim is the row of a chunk that one incarnation of a host works on, with the results that are committed.
 type Claim struct {
-	Job    string `json:"job"`
-	FileID string `json:"file-id"`
-	Chunk  int    `json:"chunk"`
-	Parts  []Part `json:"parts"`
-	Beat   int64  `json:"beat"` // raised to show that the owner still works
+	Job     string `json:"job"`
+	FileID  string `json:"file-id"`
+	Service string `json:"service"`
+	Chunk   int    `json:"chunk"`
+	Parts   []Part `json:"parts"`
+	Beat    int64  `json:"beat"` // raised to show that the owner still works
 }
 
 // Done is the row of a chunk whose every item has its result.
@@ -98,6 +99,19 @@
 	Epoch uint64
 }
 
+// freeHost stands for the host of a claim that nobody holds.
+const freeHost = "-"
+
+// Free returns the owner of the claims of a zone that nobody holds and that any of its hosts may take.
+func Free(zone string) Owner {
+	return Owner{Zone: zone, Host: freeHost}
+}
+
+// OwnerPrefix returns the prefix of the row keys of an owner's claims.
+func OwnerPrefix(owner Owner) string {
+	return fmt.Sprintf("%s%s/%s/%d/", ClaimPrefix, owner.Zone, owner.Host, owner.Epoch)
+}
+
 // Line is one item of an input file.
 type Line struct {
 	CustomID string          `json:"custom_id"`
@@ -150,7 +164,7 @@
 
 // ClaimKey returns the row key of a claim.
 func ClaimKey(owner Owner, job string, chunk int) string {
-	return fmt.Sprintf("%s%s/%s/%d/%s/%06d", ClaimPrefix, owner.Zone, owner.Host, owner.Epoch, job, chunk)
+	return fmt.Sprintf("%s%s/%06d", OwnerPrefix(owner), job, chunk)
 }
 
 // DonePrefix returns the prefix of the rows of a job's finished chunks.
