--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -139,7 +139,7 @@
 	rollout.Member = d.member
 	d.rollout = wharfrollout.New(rollout)
 	d.owner = wharfquota.NewOwner(s.Zone, d.store, d.member, d.loop, d.rollout.Snapshot)
-	d.drawer = wharfquota.NewDrawer(s.Zone, s.Peers, d.store, d.owner, d.peers)
+	d.drawer = wharfquota.NewDrawer(s.Zone, s.Peers, d.store, d.owner, d.peers, d.member.Live)
 	d.picker = wharfpick.New(s.Zone, func(e *wharfpick.Endpoint) { d.reporter.Changed(e) })
 	d.runner = wharfbatch.New(wharfbatch.Options{
 		Zone:     s.Zone,
--- a/wharf/coordination/wharflease/machine_test.go
+++ b/wharf/coordination/wharflease/machine_test.go
@@ -140,24 +140,7 @@
 		return
 	}
 	for _, target := range m.Silent(w.now) {
-		count := 0
-		if w.table.Witness && w.tableAgrees(target) {
-			count++
-		}
-		if m.Promise(target.Host, target.Epoch, w.table.Generation, w.now) {
-			count++
-		}
-		for _, from := range asked {
-			voter := w.machines[from]
-			if from == host || voter == nil || w.dead[from] {
-				continue
-			}
-			voter.Adopt(w.table, w.now)
-			if voter.Promise(target.Host, target.Epoch, w.table.Generation, w.now) {
-				count++
-			}
-		}
-		if count < w.table.Quorum() {
+		if w.agreed(m, target, asked) < w.table.Quorum() {
 			continue
 		}
 		w.table = w.table.Without(target.Host)
@@ -168,6 +151,27 @@
 	}
 }
 
+func (w *world) agreed(m *Machine, target wharfzone.Member, asked []string) int {
+	count := 0
+	if w.table.Witness && w.tableAgrees(target) {
+		count++
+	}
+	if m.Promise(target.Host, target.Epoch, w.table.Generation, w.now) {
+		count++
+	}
+	for _, from := range asked {
+		voter := w.machines[from]
+		if voter == m || voter == nil || w.dead[from] {
+			continue
+		}
+		voter.Adopt(w.table, w.now)
+		if voter.Promise(target.Host, target.Epoch, w.table.Generation, w.now) {
+			count++
+		}
+	}
+	return count
+}
+
 func (w *world) check(t *rapid.T) {
 	for _, m := range w.gone {
 		if !w.table.Holds(m.Self().Host, m.Self().Epoch) && m.InForce(w.now) {
--- a/wharf/coordination/wharfmember/member.go
+++ b/wharf/coordination/wharfmember/member.go
@@ -96,6 +96,14 @@
 	return m.view.Load()
 }
 
+// Live returns the members of the zone that were heard lately, none before the host has joined.
+func (m *Member) Live() []wharfzone.Member {
+	if view := m.view.Load(); view != nil {
+		return view.Live
+	}
+	return nil
+}
+
 // InForce reports whether the lease holds now; a holder that was paused finds out here.
 func (m *Member) InForce() bool {
 	return m.view.Load().InForce(time.Now())
--- a/wharf/coordination/wharfquota/drawer.go
+++ b/wharf/coordination/wharfquota/drawer.go
@@ -12,8 +12,10 @@
 
 	"wagtailwharf.example/wharf/coordination/wharfstorage"
 	"wagtailwharf.example/wharf/state/wharfgrant"
+	"wagtailwharf.example/wharf/state/wharfrank"
 	"wagtailwharf.example/wharf/state/wharfrow"
 	"wagtailwharf.example/wharf/state/wharfsnapshot"
+	"wagtailwharf.example/wharf/state/wharfzone"
 )
 
 const (
@@ -23,6 +25,7 @@
 	directoryRetry = time.Second
 	demandWindow   = 100 * time.Millisecond
 	largestDraw    = 64
+	rankedOwners   = 2
 )
 
 // Sentinel errors of admission by rate.
@@ -41,14 +44,11 @@
 	storage wharfstorage.Storage
 	owner   *Owner
 	peers   Peers
+	live    func() []wharfzone.Member
 	purses  sync.Map // organisation → *purse
-	entries atomic.Pointer[directory]
+	owners  sync.Map // shard's row key → netip.AddrPort
 	scanMu  sync.Mutex
-}
-
-type directory struct {
-	read   time.Time
-	owners map[string]netip.AddrPort
+	scanned time.Time
 }
 
 type purse struct {
@@ -60,9 +60,9 @@
 	recent  int
 }
 
-// NewDrawer returns a drawer for a host at the peer address self.
-func NewDrawer(zone string, self netip.AddrPort, storage wharfstorage.Storage, owner *Owner, peers Peers) *Drawer {
-	return &Drawer{zone: zone, self: self, storage: storage, owner: owner, peers: peers}
+// NewDrawer returns a drawer for a host at the peer address self; live returns the members heard in its zone.
+func NewDrawer(zone string, self netip.AddrPort, storage wharfstorage.Storage, owner *Owner, peers Peers, live func() []wharfzone.Member) *Drawer {
+	return &Drawer{zone: zone, self: self, storage: storage, owner: owner, peers: peers, live: live}
 }
 
 // Serve reads the owners of all shards anew now and then, until ctx ends.
@@ -70,7 +70,7 @@
 	ticker := time.NewTicker(directoryAge)
 	defer ticker.Stop()
 	for {
-		d.scan(ctx, directoryRetry)
+		d.scan(ctx)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -170,75 +170,88 @@
 	return slices.Concat(zones[own:], zones[:own])
 }
 
+// draw asks the known owner of the organisation's shard in a zone, then those that are likely to own it by now.
 func (d *Drawer) draw(ctx context.Context, zone string, request DrawRequest) (DrawReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
-	for range 2 {
-		address, ok := d.find(ctx, zone, ShardOf(request.Organisation))
-		if !ok {
-			return DrawReply{}, ErrNoOwner
-		}
-		reply, err := d.call(ctx, address, request)
-		if err == nil && !reply.NotOwner {
+	key := ShardKey(zone, ShardOf(request.Organisation))
+	asked := map[netip.AddrPort]bool{}
+	for _, address := range d.candidates(zone, key) {
+		if reply, ok := d.ask(ctx, key, address, request, asked); ok {
 			return reply, nil
 		}
-		if !d.scan(ctx, directoryRetry) {
-			return DrawReply{}, ErrNoOwner
+	}
+	if d.scan(ctx) {
+		if address, ok := d.owners.Load(key); ok {
+			if reply, ok := d.ask(ctx, key, address.(netip.AddrPort), request, asked); ok {
+				return reply, nil
+			}
 		}
 	}
 	return DrawReply{}, ErrNoOwner
 }
 
-func (d *Drawer) call(ctx context.Context, address netip.AddrPort, request DrawRequest) (DrawReply, error) {
-	if address == d.self {
-		return d.owner.HandleDraw(ctx, request)
+// candidates returns the owner that was known last, and for the own zone the hosts that rank first for the shard,
+// which need no platform to be found.
+func (d *Drawer) candidates(zone, key string) []netip.AddrPort {
+	var candidates []netip.AddrPort
+	if address, ok := d.owners.Load(key); ok {
+		candidates = append(candidates, address.(netip.AddrPort))
 	}
-	return d.peers.Draw(ctx, address, request)
+	if zone != d.zone {
+		return candidates
+	}
+	live := d.live()
+	addresses := make(map[string]netip.AddrPort, len(live))
+	hosts := make([]string, 0, len(live))
+	for _, member := range live {
+		addresses[member.Host] = member.Peer
+		hosts = append(hosts, member.Host)
+	}
+	order := wharfrank.Order(key, hosts)
+	for _, host := range order[:min(len(order), rankedOwners)] {
+		candidates = append(candidates, addresses[host])
+	}
+	return candidates
 }
 
-func (d *Drawer) find(ctx context.Context, zone string, shard int) (netip.AddrPort, bool) {
-	key := ShardKey(zone, shard)
-	entries := d.entries.Load()
-	if entries == nil {
-		d.scan(ctx, directoryRetry)
+func (d *Drawer) ask(ctx context.Context, key string, address netip.AddrPort, request DrawRequest, asked map[netip.AddrPort]bool) (DrawReply, bool) {
+	if asked[address] {
+		return DrawReply{}, false
 	}
-	entries = d.entries.Load()
-	if entries == nil {
-		return netip.AddrPort{}, false
+	asked[address] = true
+	reply, err := d.call(ctx, address, request)
+	if err != nil || reply.NotOwner {
+		return DrawReply{}, false
 	}
-	address, ok := entries.owners[key]
-	if !ok && d.scan(ctx, directoryRetry) {
-		address, ok = d.entries.Load().owners[key]
+	d.owners.Store(key, address)
+	return reply, true
+}
+
+func (d *Drawer) call(ctx context.Context, address netip.AddrPort, request DrawRequest) (DrawReply, error) {
+	if address == d.self {
+		return d.owner.HandleDraw(ctx, request)
 	}
-	return address, ok
+	return d.peers.Draw(ctx, address, request)
 }
 
-// scan reads the owners of all shards anew, unless that was done within an age, and reports whether it is newer now.
-func (d *Drawer) scan(ctx context.Context, age time.Duration) bool {
-	before := d.entries.Load()
+// scan reads the owners of all shards anew, unless that was done a moment ago, and reports whether it did.
+func (d *Drawer) scan(ctx context.Context) bool {
 	d.scanMu.Lock()
 	defer d.scanMu.Unlock()
-	current := d.entries.Load()
-	if current != before {
-		return true
-	}
-	if current != nil && time.Since(current.read) < age {
+	if time.Since(d.scanned) < directoryRetry {
 		return false
 	}
-	next := &directory{read: time.Now(), owners: map[string]netip.AddrPort{}}
+	d.scanned = time.Now()
 	err := wharfstorage.ScanAll(ctx, d.storage, "quota/", func(row wharfrow.Row) error {
 		var shard Shard
 		if err := json.Unmarshal(row.Value, &shard); err != nil {
 			return err
 		}
 		if shard.Host != "" {
-			next.owners[row.Key] = shard.Peer
+			d.owners.Store(row.Key, shard.Peer)
 		}
 		return nil
 	})
-	if err != nil {
-		return false
-	}
-	d.entries.Store(next)
-	return true
+	return err == nil
 }
