--- /dev/null
+++ b/wagtailwharfd/wharfdaemon/answers_test.go
@@ -0,0 +1,244 @@
+package wharfdaemon_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/wharf-standin/wharfmodel"
+	"wagtailwharf.example/wharf-standin/wharfplain"
+	"wagtailwharf.example/wharf-standin/wharfplatform"
+	"wagtailwharf.example/wharf-standin/wharftokens"
+	"wagtailwharf.example/wharf/protocol/wharfsettings"
+)
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	return conn
+}
+
+func shortWaits(s *wharfsettings.Settings) {
+	s.Limits.FirstByte = wharfsettings.Duration(500 * time.Millisecond)
+	s.Limits.Idle = wharfsettings.Duration(500 * time.Millisecond)
+}
+
+var oneHost = shape{zones: []string{"a"}, daemons: 1, engines: 2, slots: 32, token: time.Millisecond, rate: 10000, burst: 10000, settings: shortWaits}
+
+func TestCallerGetsItsOwnWholeAnswer(t *testing.T) {
+	faults := map[string]wharfmodel.Control{
+		"crossed": {Cross: 1},
+		"cut":     {Cut: 1},
+		"hanging": {Hang: 1},
+		"all":     {Cross: 1, Cut: 1, Hang: 1},
+	}
+	for name, fault := range faults {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s stream %v", name, stream), func(t *testing.T) {
+				c := newCluster(t, oneHost)
+				for _, e := range c.engines {
+					e.SetControl(fault)
+				}
+				for i := range 12 {
+					prompt := fmt.Sprintf("question %d", i)
+					r := c.nodes[0].chat(keyOf("alpha"), prompt, 6, stream)
+					checkWhole(t, r, prompt, 6, stream)
+				}
+			})
+		}
+	}
+}
+
+// checkWhole requires the whole right answer, or something that can't be taken for one.
+func checkWhole(t *testing.T, r reply, prompt string, tokens int, stream bool) {
+	t.Helper()
+	if r.status != http.StatusOK || r.err != nil {
+		return
+	}
+	whole := wharftokens.For(prompt).Join(tokens)
+	if !stream {
+		assert.Assert(t, strings.Contains(r.body, whole), r.body)
+		return
+	}
+	if !strings.Contains(r.body, "data: [DONE]") {
+		assert.Assert(t, strings.Contains(r.body, `"error"`), r.body)
+		return
+	}
+	for i := range tokens {
+		token := wharftokens.For(prompt).Token(i)
+		assert.Equal(t, strings.Count(r.body, fmt.Sprintf("%q", token)), 1, r.body)
+	}
+}
+
+func TestSilentConnectionsAreLeft(t *testing.T) {
+	c := newCluster(t, oneHost)
+	for range 4 {
+		assert.Equal(t, c.nodes[0].chat(keyOf("alpha"), "warm", 2, false).status, http.StatusOK)
+	}
+	c.engines[0].SetControl(wharfmodel.Control{Silent: true})
+	for i := range 6 {
+		r := c.nodes[0].chat(keyOf("alpha"), fmt.Sprint("after ", i), 2, false)
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+	}
+}
+
+func TestClientThatGoesAwayEndsTheEndpointsWork(t *testing.T) {
+	s := oneHost
+	s.token = 20 * time.Millisecond
+	c := newCluster(t, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.nodes[0].askWith(ctx, http.MethodPost, "/v1/chat/completions", keyOf("alpha"), nil, chatBody("long", 500, true))
+	}()
+	c.eventually(2*time.Second, func() bool { return c.engineRunning() == 1 })
+	cancel()
+	<-done
+	c.eventually(2*time.Second, func() bool { return c.engineRunning() == 0 })
+}
+
+func TestBadRequests(t *testing.T) {
+	s := oneHost
+	s.settings = func(s *wharfsettings.Settings) { s.Limits.MaxBodyBytes = 1000 }
+	c := newCluster(t, s)
+	tests := []struct {
+		name, path, body, code string
+		status                 int
+	}{
+		{"malformed JSON", "/v1/chat/completions", "{", "bad-input", http.StatusBadRequest},
+		{"no model", "/v1/chat/completions", `{"messages":[]}`, "bad-input", http.StatusBadRequest},
+		{"unknown model", "/v1/chat/completions", `{"model":"x","messages":[]}`, "model-not-found", http.StatusNotFound},
+		{"too large", "/v1/chat/completions", strings.Repeat("x", 2000), "too-large", http.StatusRequestEntityTooLarge},
+		{"unknown path", "/v2/chat", "", "unknown-path", http.StatusNotFound},
+		{"unknown service", "/services/x/y", "", "unknown-route", http.StatusNotFound},
+		{"unknown file", "/v1/batches", `{"input_file_id":"x","endpoint":"/v1/completions","completion_window":"24h"}`, "not-found", http.StatusNotFound},
+		{"bad window", "/v1/batches", `{"input_file_id":"x","endpoint":"/v1/completions","completion_window":"soon"}`, "bad-input", http.StatusBadRequest},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := c.nodes[0].ask(http.MethodPost, test.path, keyOf("alpha"), nil, test.body)
+			assert.Equal(t, r.status, test.status, r.body)
+			assert.Equal(t, r.code, test.code)
+			assert.Equal(t, r.state, "not-run")
+		})
+	}
+}
+
+func TestNonRepeatableRequestsRunAtMostOnce(t *testing.T) {
+	s := twoZones
+	s.settings = shortWaits
+	c := newCluster(t, s)
+	var mu sync.Mutex
+	refusedNotRun := map[string]bool{}
+	answered := map[string]bool{}
+	var clients sync.WaitGroup
+	for number := range 24 {
+		body := fmt.Sprintf("entry-%d", number)
+		clients.Go(func() {
+			header := http.Header{"Idempotency-Key": {body}}
+			for try := range 4 {
+				r := c.nodes[(number+try)%len(c.nodes)].ask(http.MethodPost, "/services/ledger/entries", keyOf("alpha"), header, body)
+				mu.Lock()
+				answered[body] = answered[body] || r.status == http.StatusOK
+				refusedNotRun[body] = r.status != http.StatusOK && r.state == "not-run"
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	c.service.SetControl(wharfplain.Control{SilentBefore: 3, SilentAfter: 3, AbortAfter: 3, RefuseRequests: 2, DelayMillis: 30})
+	c.platform.SetFaults(wharfplatform.Faults{LoseReplies: 0.1})
+	time.Sleep(100 * time.Millisecond)
+	c.nodes[2].kill()
+	clients.Wait()
+	ran := 0
+	for number := range 24 {
+		body := fmt.Sprintf("entry-%d", number)
+		runs := c.service.Runs(body)
+		ran += runs
+		assert.Assert(t, runs <= 1, "%s ran %d times", body, runs)
+		if refusedNotRun[body] && !answered[body] {
+			assert.Equal(t, runs, 0, "%s was last refused as not run", body)
+		}
+	}
+	assert.Assert(t, ran > 0)
+}
+
+func TestNotRunIsTrue(t *testing.T) {
+	s := oneHost
+	c := newCluster(t, s)
+	c.service.SetControl(wharfplain.Control{SilentBefore: 2, SilentAfter: 2, AbortAfter: 2})
+	for i := range 12 {
+		body := fmt.Sprintf("entry-%d", i)
+		r := c.nodes[0].ask(http.MethodPost, "/services/ledger/entries", keyOf("alpha"), nil, body)
+		runs := c.service.Runs(body)
+		switch {
+		case r.status == http.StatusOK:
+			assert.Equal(t, runs, 1)
+		case r.state == "not-run":
+			assert.Equal(t, runs, 0)
+		default:
+			assert.Equal(t, r.state, "unknown")
+			assert.Assert(t, runs <= 1)
+		}
+	}
+}
+
+// maxPoisonCrashes is the bound that docs/design/poison.md states.
+const maxPoisonCrashes = 3
+
+func TestPoisonIsBounded(t *testing.T) {
+	c := newCluster(t, shape{zones: []string{"a", "b"}, daemons: 2, engines: 3, slots: 16, token: time.Millisecond, rate: 1000, burst: 1000})
+	var innocent sync.WaitGroup
+	stop := make(chan struct{})
+	lost := 0
+	for range 4 {
+		innocent.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if r := c.nodes[i%4].chat(keyOf("beta"), fmt.Sprint("innocent ", i), 8, false); r.status != http.StatusOK {
+					lost++
+				}
+			}
+		})
+	}
+	for i := range 12 {
+		begun := time.Now()
+		r := c.nodes[i%4].chat(keyOf("alpha"), wharfmodel.CrashPrompt, 4, false)
+		assert.Assert(t, r.status != http.StatusOK)
+		if i > 3 {
+			assert.Equal(t, r.code, "crashes-endpoints")
+			assert.Assert(t, time.Since(begun) < time.Second, "the final answer comes at once")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	file := c.nodes[0].upload(keyOf("alpha"), fmt.Sprintf(`{"custom_id":"x","method":"POST","url":"/v1/chat/completions","body":%s}`, chatBody(wharfmodel.CrashPrompt, 4, false)), "")
+	job := c.nodes[0].submit(keyOf("alpha"), file.id(), "poison")
+	c.eventually(10*time.Second, func() bool {
+		b, _ := c.nodes[0].job(keyOf("alpha"), job.id())
+		return b.Status == "completed" && b.Counts.Failed == 1
+	})
+	close(stop)
+	innocent.Wait()
+	crashes := int64(0)
+	for _, e := range c.engines {
+		crashes += e.Load().Crashes
+	}
+	assert.Assert(t, crashes <= maxPoisonCrashes, "%d endpoints were crashed", crashes)
+	t.Logf("%d crashes, %d innocent requests lost", crashes, lost)
+}
