Sharpen the proofs that mutants slipped through, and name plainer policies to measure against

Mutants of one mechanism each showed tests that could not fail: the lease's random walk asked for reclaims in one step and renewed with every voter, the new owner's full burst was hidden by the time it takes to reclaim, resends seldom met, a cancel always reached the other zone, and the plain service had one endpoint to retry on. Each is now a walk or test that the mutant fails.

--- a/wagtailwharfd/wharfdaemon/cluster_test.go
+++ b/wagtailwharfd/wharfdaemon/cluster_test.go
@@ -99,7 +99,7 @@
 		}
 	}
 	c.service = wharfplain.New()
-	c.bundle = c.firstBundle(s, serve(t, c.service))
+	c.bundle = c.firstBundle(s, serve(t, c.service), serve(t, c.service))
 	for _, zone := range s.zones {
 		for i := range s.daemons {
 			c.nodes = append(c.nodes, c.start(fmt.Sprintf("%s-%d", zone, i), zone))
@@ -121,7 +121,7 @@
 	return server.URL
 }
 
-func (c *cluster) firstBundle(s shape, service string) string {
+func (c *cluster) firstBundle(s shape, services ...string) string {
 	var text strings.Builder
 	for _, zone := range s.zones {
 		fmt.Fprintf(&text, "[[zone]]\nname = %q\nregion = \"r\"\n\n", zone)
@@ -138,7 +138,9 @@
 	for _, e := range c.engines {
 		fmt.Fprintf(&text, endpointTable, e.name, "model", e.zone, e.url, max(s.slots, 1))
 	}
-	fmt.Fprintf(&text, endpointTable, "ledger-1", "ledger", s.zones[0], service, 16)
+	for i, service := range services {
+		fmt.Fprintf(&text, endpointTable, fmt.Sprintf("ledger-%d", i), "ledger", s.zones[0], service, 16)
+	}
 	return text.String()
 }
 
--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -147,10 +147,32 @@
 		Member:   d.member,
 		Config:   d.rollout.Snapshot,
 		Executor: wharfitem.New(d.client, d.ledger, d.strike, d.metrics),
-		Headroom: s.Batch.Headroom,
+		Headroom: d.headroom(),
+		Blind:    s.Policies.Batch != wharfsettings.BatchGivesWay,
 	})
 	d.reporter = wharfreport.New(d.member, d.runner, d.peers, func() *wharfpick.Picker { return d.picker })
 	d.orders = wharforder.New(s.Zone, d.member, d.rollout.Snapshot, d.client)
+	if s.Policies.Rate == wharfsettings.RateStatic {
+		d.drawer.Static()
+	}
+	if s.Policies.Endpoint == wharfsettings.EndpointRandom {
+		d.picker.Random()
+	}
+}
+
+func (d *Daemon) headroom() float64 {
+	if d.settings.Policies.Batch == wharfsettings.BatchUncontrolled {
+		return 0
+	}
+	return d.settings.Batch.Headroom
+}
+
+func (d *Daemon) newGate() *wharfgate.Gate {
+	gate := wharfgate.New(d.picker)
+	if d.settings.Policies.Queue == wharfsettings.QueueFirstCome {
+		gate.InOrder()
+	}
+	return gate
 }
 
 func (d *Daemon) buildServers(tokens Tokens) {
@@ -159,7 +181,7 @@
 		Snapshot: d.rollout.Snapshot,
 		InForce:  d.inForce,
 		Drawer:   d.drawer,
-		Gate:     wharfgate.New(d.picker),
+		Gate:     d.newGate(),
 		Picker:   d.picker,
 		Client:   d.client,
 		Jobs:     wharfjobs.New(d.store),
--- a/wagtailwharfd/wharfdaemon/jobs_test.go
+++ b/wagtailwharfd/wharfdaemon/jobs_test.go
@@ -205,6 +205,42 @@
 	assert.Equal(t, again.id(), job.id(), "a late resend does not start a cancelled job again")
 }
 
+func TestNothingCompletesAfterACancelThatOthersMissed(t *testing.T) {
+	c := newCluster(t, shape{zones: []string{"a", "b"}, daemons: 1, engines: 1, slots: 8, token: 10 * time.Millisecond, rate: 1000, burst: 1000})
+	key := keyOf("alpha")
+	file := c.nodes[0].upload(key, itemLines("job", 400, 50), "")
+	job := c.nodes[0].submit(key, file.id(), "key")
+	c.eventually(10*time.Second, func() bool { return c.engines[1].Load().Running > 0 })
+	c.setCut(betweenZones)
+	r := c.nodes[0].ask(http.MethodPost, "/v1/batches/"+job.id()+"/cancel", key, nil, "")
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	at, _ := c.nodes[0].job(key, job.id())
+	c.eventually(5*time.Second, func() bool { return c.engineRunning() == 0 })
+	later, _ := c.nodes[0].job(key, job.id())
+	assert.Equal(t, later.Counts.Completed, at.Counts.Completed)
+}
+
+func TestResendsAtOneMomentAreOneJob(t *testing.T) {
+	c := newCluster(t, shape{zones: []string{"a", "b"}, daemons: 2, engines: 1, slots: 8, token: time.Millisecond, rate: 1000, burst: 1000})
+	key := keyOf("alpha")
+	file := c.nodes[0].upload(key, itemLines("job", 2, 2), "")
+	c.platform.SetFaults(wharfplatform.Faults{SlowMillis: 5})
+	for round := range 10 {
+		ids := make([]string, 8)
+		var clients sync.WaitGroup
+		for i := range ids {
+			clients.Go(func() {
+				r := c.nodes[i%len(c.nodes)].submit(key, file.id(), fmt.Sprint("round ", round))
+				ids[i] = r.id()
+			})
+		}
+		clients.Wait()
+		for _, id := range ids {
+			assert.Equal(t, id, ids[0])
+		}
+	}
+}
+
 func (c *cluster) engineRunning() int {
 	running := 0
 	for _, e := range c.engines {
--- a/wagtailwharfd/wharfdaemon/rate_test.go
+++ b/wagtailwharfd/wharfdaemon/rate_test.go
@@ -112,6 +112,22 @@
 	}
 }
 
+func TestNewOwnerDoesNotStartWithAFullBurst(t *testing.T) {
+	s := smallRate
+	s.rate = 4
+	s.burst = 80
+	c := newCluster(t, s)
+	admissions := c.flood(9*time.Second, 5*time.Millisecond, func() {
+		for i := range c.nodes {
+			time.Sleep(time.Second)
+			c.nodes[i].kill()
+			time.Sleep(leaseTerm)
+			c.nodes[i] = c.run(c.nodes[i].settings)
+		}
+	})
+	checkEveryWindow(t, admissions, s.rate, s.burst)
+}
+
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	s := smallRate
 	s.rate = 1
--- a/wharf/coordination/wharfbatch/runner.go
+++ b/wharf/coordination/wharfbatch/runner.go
@@ -31,6 +31,7 @@
 	Config   func() *wharfsnapshot.Snapshot
 	Executor Executor
 	Headroom float64 // share of an endpoint's slots, from 0 to 1, that batch leaves free
+	Blind    bool    // batch takes no notice of online requests
 }
 
 // Runner claims chunks of open jobs and runs their items on the endpoints that this host schedules.
@@ -145,7 +146,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.endpoints[name]
-	if e == nil {
+	if e == nil || r.options.Blind {
 		return
 	}
 	now := time.Now()
--- a/wharf/coordination/wharfgate/gate.go
+++ b/wharf/coordination/wharfgate/gate.go
@@ -29,6 +29,12 @@
 	waiting atomic.Int64
 	mu      sync.Mutex
 	lines   map[string]*line
+	inOrder bool
+}
+
+// InOrder has the gate start waiting requests in the order in which they came, whoever sent them.
+func (g *Gate) InOrder() {
+	g.inOrder = true
 }
 
 type line struct {
@@ -65,6 +71,9 @@
 			return e, leastReturn, err
 		}
 	}
+	if g.inOrder {
+		request.Organisation = ""
+	}
 	w := &waiter{pick: request.Pick, ready: make(chan *wharfpick.Endpoint, 1)}
 	if wait, ok := g.enter(w, request); !ok {
 		return nil, wait, ErrBusy
--- a/wharf/coordination/wharflease/machine_test.go
+++ b/wharf/coordination/wharflease/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,10 +23,10 @@
 	now      time.Time
 	table    wharfzone.Zone
 	machines map[string]*Machine
-	dead     map[string]bool
 	gone     []*Machine // incarnations that were reclaimed, which may still run
 	votes    []vote
 	watched  map[string]watch
+	requests []*request
 }
 
 type vote struct {
@@ -42,9 +43,12 @@
 }
 
 func newWorld(hosts int) *world {
-	w := &world{now: time.Unix(1000, 0), machines: map[string]*Machine{}, dead: map[string]bool{}, watched: map[string]watch{}}
+	w := &world{now: time.Unix(1000, 0), machines: map[string]*Machine{}, watched: map[string]watch{}}
 	for i := range hosts {
 		w.join(fmt.Sprintf("h%d", i))
+		for _, m := range w.machines {
+			m.Adopt(w.table, w.now)
+		}
 	}
 	return w
 }
@@ -62,7 +66,6 @@
 	}
 	w.table = next
 	w.machines[host] = New(self, next, term, margin, w.now)
-	w.dead[host] = false
 }
 
 func (w *world) adopted() bool {
@@ -72,8 +75,7 @@
 	}
 	for _, member := range w.table.Members {
 		m := w.machines[member.Host]
-		fresh := m == nil && !w.dead[member.Host]
-		if fresh || (m != nil && !w.dead[member.Host] && m.Zone().Generation == w.table.Generation) {
+		if m == nil || m.Zone().Generation == w.table.Generation {
 			count++
 		}
 	}
@@ -86,14 +88,14 @@
 	}
 }
 
-// renew has host ask every other one, each of whose votes waits to be delivered.
-func (w *world) renew(host string) {
+// renew has host ask every other one but those it is cut off from; each vote waits to be delivered.
+func (w *world) renew(host string, cut ...string) {
 	m := w.machines[host]
 	if m == nil || m.Lost() {
 		return
 	}
 	for from, voter := range w.machines {
-		if from == host || voter == nil || w.dead[from] {
+		if from == host || voter == nil || slices.Contains(cut, from) {
 			continue
 		}
 		w.votes = append(w.votes, vote{
@@ -133,43 +135,56 @@
 	return w.now.Sub(seen.since) > term+margin
 }
 
-// reclaim has host ask for a silent member's reclaim, with the agreement of those in asked.
-func (w *world) reclaim(host string, asked []string) {
+// request is a reclaim that is being asked for: its agreements count only in the generation asked about.
+type request struct {
+	by         string
+	target     wharfzone.Member
+	generation uint64
+	agreed     map[string]bool
+}
+
+// ask has a host begin to ask for a silent member's reclaim, with its own promise.
+func (w *world) ask(host string) {
 	m := w.machines[host]
 	if m == nil || m.Zone().Generation != w.table.Generation {
 		return
 	}
 	for _, target := range m.Silent(w.now) {
-		if w.agreed(m, target, asked) < w.table.Quorum() {
-			continue
-		}
-		w.table = w.table.Without(target.Host)
-		if old := w.machines[target.Host]; old != nil {
-			w.gone = append(w.gone, old)
+		r := &request{by: host, target: target, generation: w.table.Generation, agreed: map[string]bool{}}
+		if m.Promise(target.Host, target.Epoch, r.generation, w.now) {
+			r.agreed[host] = true
 		}
+		w.requests = append(w.requests, r)
+	}
+}
+
+// agree has one voter answer a request.
+func (w *world) agree(r *request, voter string) {
+	m := w.machines[voter]
+	if m == nil || voter == r.by {
 		return
 	}
+	if m.Promise(r.target.Host, r.target.Epoch, r.generation, w.now) {
+		r.agreed[voter] = true
+	}
 }
 
-func (w *world) agreed(m *Machine, target wharfzone.Member, asked []string) int {
-	count := 0
-	if w.table.Witness && w.tableAgrees(target) {
-		count++
+// commit reclaims if enough have agreed and the table's generation is still the one asked about.
+func (w *world) commit(r *request) {
+	count := len(r.agreed)
+	if w.table.Generation != r.generation {
+		return
 	}
-	if m.Promise(target.Host, target.Epoch, w.table.Generation, w.now) {
+	if w.table.Witness && w.tableAgrees(r.target) {
 		count++
 	}
-	for _, from := range asked {
-		voter := w.machines[from]
-		if voter == m || voter == nil || w.dead[from] {
-			continue
-		}
-		voter.Adopt(w.table, w.now)
-		if voter.Promise(target.Host, target.Epoch, w.table.Generation, w.now) {
-			count++
-		}
+	if count < w.table.Quorum() {
+		return
+	}
+	w.table = w.table.Without(r.target.Host)
+	if old := w.machines[r.target.Host]; old != nil && old.Self().Epoch == r.target.Epoch {
+		w.gone = append(w.gone, old)
 	}
-	return count
 }
 
 func (w *world) check(t *rapid.T) {
@@ -182,9 +197,13 @@
 
 func TestNoLeaseOutlivesItsReclaim(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.IntRange(1, 4).Draw(t, "hosts"))
-		names := []string{"h0", "h1", "h2", "h3"}
-		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+		names := []string{"h0", "h1", "h2", "h3"}[:rapid.IntRange(2, 4).Draw(t, "hosts")]
+		w := newWorld(len(names))
+		w.change(w.table.WithWitness(w.table.WantsWitness()))
+		for _, m := range w.machines {
+			m.Adopt(w.table, w.now)
+		}
+		for range rapid.IntRange(40, 160).Draw(t, "steps") {
 			w.step(t, names)
 			w.check(t)
 		}
@@ -194,33 +213,48 @@
 func (w *world) step(t *rapid.T, names []string) {
 	host := rapid.SampledFrom(names).Draw(t, "host")
 	m := w.machines[host]
-	switch rapid.IntRange(0, 13).Draw(t, "transition") {
+	switch rapid.IntRange(0, 19).Draw(t, "transition") {
 	case 0, 1, 2:
-		w.now = w.now.Add(tick)
-	case 3:
+		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 4).Draw(t, "ticks")) * tick)
+	case 3, 4:
 		w.now = w.now.Add(term + margin + tick)
-	case 4, 5:
-		w.renew(host)
-	case 6, 7:
-		if len(w.votes) > 0 {
-			w.deliver(rapid.IntRange(0, len(w.votes)-1).Draw(t, "vote"), rapid.Bool().Draw(t, "doubled"))
+	case 5, 6, 7:
+		w.renew(host, rapid.SliceOfDistinct(rapid.SampledFrom(names), rapid.ID).Draw(t, "cut off from")...)
+	case 8, 9, 10:
+		for range min(len(w.votes), rapid.IntRange(1, 4).Draw(t, "votes")) {
+			w.deliver(rapid.IntRange(0, len(w.votes)-1).Draw(t, "vote"), rapid.IntRange(0, 3).Draw(t, "doubled") == 0)
 		}
-	case 8:
+	case 11:
 		w.voteByTable(host)
-	case 9:
+	case 12:
 		if m != nil {
 			m.Adopt(w.table, w.now)
 		}
-	case 10:
-		w.reclaim(host, rapid.SliceOfDistinct(rapid.SampledFrom(names), rapid.ID).Draw(t, "asked"))
-	case 11:
+	case 13, 14:
+		w.ask(host)
+	case 15, 16:
+		if len(w.requests) > 0 {
+			w.agree(rapid.SampledFrom(w.requests).Draw(t, "request"), host)
+		}
+	case 17, 18:
+		if len(w.requests) > 0 {
+			w.commit(rapid.SampledFrom(w.requests).Draw(t, "request"))
+		}
+	case 19:
+		w.rareStep(t, host, m)
+	}
+}
+
+func (w *world) rareStep(t *rapid.T, host string, m *Machine) {
+	switch rapid.IntRange(0, 3).Draw(t, "rare transition") {
+	case 0:
 		w.change(w.table.WithWitness(!w.table.Witness))
-	case 12:
+	case 1:
 		w.change(w.table.Reaffirmed())
-	case 13:
-		if m == nil || m.Lost() {
-			w.join(host)
-		} else if rapid.IntRange(0, 3).Draw(t, "dies") == 0 {
+	case 2:
+		w.join(host)
+	case 3:
+		if m != nil && !m.Lost() {
 			w.machines[host] = nil // the process ends; its next incarnation knows nothing
 		}
 	}
@@ -263,3 +297,13 @@
 	assert.Equal(t, len(voter.Silent(w.now.Add(term))), 0)
 	assert.Equal(t, len(voter.Silent(w.now.Add(term+margin+tick))), 1)
 }
+
+func TestReclaimWaitsATermInANewGeneration(t *testing.T) {
+	w := newWorld(2)
+	m := w.machines["h0"]
+	w.now = w.now.Add(term + margin + tick)
+	assert.Equal(t, len(m.Silent(w.now)), 1)
+	m.Adopt(w.table.Reaffirmed(), w.now)
+	assert.Equal(t, len(m.Silent(w.now.Add(term))), 0, "leases of the generation before the last may still hold")
+	assert.Equal(t, len(m.Silent(w.now.Add(term+margin+tick))), 1)
+}
--- a/wharf/coordination/wharfquota/drawer.go
+++ b/wharf/coordination/wharfquota/drawer.go
@@ -49,6 +49,12 @@
 	owners  sync.Map // shard's row key → netip.AddrPort
 	scanMu  sync.Mutex
 	scanned time.Time
+	static  bool
+}
+
+// Static has the drawer keep to its own zone's share, as a static split does.
+func (d *Drawer) Static() {
+	d.static = true
 }
 
 type purse struct {
@@ -167,6 +173,9 @@
 	if own < 0 {
 		return zones
 	}
+	if d.static {
+		return zones[own : own+1]
+	}
 	return slices.Concat(zones[own:], zones[:own])
 }
 
--- a/wharf/protocol/wharfsettings/settings.go
+++ b/wharf/protocol/wharfsettings/settings.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,7 +35,29 @@
 	Limits    Limits         `toml:"limits"`
 	Batch     Batch          `toml:"batch"`
 	Drain     Drain          `toml:"drain"`
-}
+	Policies  Policies       `toml:"policies"`
+}
+
+// Policies choose between this system's decisions and the plainer ones that they are measured against.
+type Policies struct {
+	Batch    string `toml:"batch"`
+	Endpoint string `toml:"endpoint"`
+	Rate     string `toml:"rate"`
+	Queue    string `toml:"queue"`
+}
+
+// Names of policies; the first of each kind is the default.
+const (
+	BatchGivesWay      = "gives-way"
+	BatchCeiling       = "ceiling"
+	BatchUncontrolled  = "uncontrolled"
+	EndpointTwoChoices = "two-choices"
+	EndpointRandom     = "random"
+	RateShared         = "shared"
+	RateStatic         = "static"
+	QueueFair          = "fair"
+	QueueFirstCome     = "first-come"
+)
 
 // Lease holds the times of the host lease.
 type Lease struct {
@@ -102,7 +125,8 @@
 			RetryShare:     0.1,
 		},
 		Batch: Batch{Headroom: 0.25},
-		Drain: Drain{Grace: Duration(2 * time.Second), Limit: Duration(60 * time.Second)},
+		Policies: Policies{Batch: BatchGivesWay, Endpoint: EndpointTwoChoices, Rate: RateShared, Queue: QueueFair},
+		Drain:    Drain{Grace: Duration(2 * time.Second), Limit: Duration(60 * time.Second)},
 	}
 }
 
@@ -155,6 +179,7 @@
 	require(err == nil && base.Scheme != "" && base.Host != "", "platform must be an absolute url")
 	require(s.Secrets.PeerTokenFile != "", "secrets.peer-token-file is missing")
 	require(s.Secrets.OperatorTokenFile != "", "secrets.operator-token-file is missing")
+	s.Policies.validate(require)
 	s.validateTimes(require)
 	s.validateLimits(require)
 	_, err = s.SignerKeys()
@@ -166,6 +191,20 @@
 	return trace.Wrap(fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...)))
 }
 
+func (p *Policies) validate(require func(bool, string, ...any)) {
+	for _, choice := range []struct {
+		key, value string
+		names      []string
+	}{
+		{"batch", p.Batch, []string{BatchGivesWay, BatchCeiling, BatchUncontrolled}},
+		{"endpoint", p.Endpoint, []string{EndpointTwoChoices, EndpointRandom}},
+		{"rate", p.Rate, []string{RateShared, RateStatic}},
+		{"queue", p.Queue, []string{QueueFair, QueueFirstCome}},
+	} {
+		require(slices.Contains(choice.names, choice.value), "policies.%s must be one of %q", choice.key, choice.names)
+	}
+}
+
 func (s *Settings) validateTimes(require func(bool, string, ...any)) {
 	const shortest = 500 * time.Millisecond
 	require(time.Duration(s.Lease.Term) >= shortest, "lease.term must be at least %v", shortest)
--- a/wharf/state/wharfpick/picker.go
+++ b/wharf/state/wharfpick/picker.go
@@ -115,6 +115,12 @@
 	mu       sync.Mutex
 	known    map[string]*Endpoint
 	services atomic.Pointer[map[string]*group]
+	random   bool
+}
+
+// Random has the picker take any endpoint, whatever its load.
+func (p *Picker) Random() {
+	p.random = true
 }
 
 type group struct {
@@ -203,7 +209,7 @@
 		if len(usable) == 0 {
 			continue
 		}
-		if e := request.choose(usable); e != nil {
+		if e := p.choose(&request, usable); e != nil {
 			return e, nil
 		}
 		full = true
@@ -214,6 +220,16 @@
 	return nil, ErrNone
 }
 
+func (p *Picker) choose(request *Request, usable []*Endpoint) *Endpoint {
+	if !p.random {
+		return request.choose(usable)
+	}
+	if e := usable[rand.IntN(len(usable))]; e.acquire() {
+		return e
+	}
+	return leastLoaded(usable)
+}
+
 func (r *Request) usable(candidates []*Endpoint) []*Endpoint {
 	usable := make([]*Endpoint, 0, len(candidates))
 	for _, e := range candidates {
