--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -55,8 +55,8 @@
 	's/room := max\(0, b\.burst-b\.outstanding\)/room := b.burst/' ./wharf/state/wharfbucket TestEveryWindowHoldsRateAndBurst
 mutant new-owner-starts-full wharf/coordination/wharfquota/owner.go \
 	's/inherited: row\.Version != 0 && !last\.Untouched/inherited: false/' $daemon TestNewOwnerDoesNotStartWithAFullBurst
-mutant static-split wharf/coordination/wharfquota/drawer.go \
-	's/return slices\.Concat\(zones\[own:\], zones\[:own\]\)/return zones[own:own+1]/' $daemon TestSkewedOrganisationGetsItsWholeRate
+mutant zones-do-not-lend wharf/coordination/wharfquota/owner.go \
+	's/if missing <= 0 \|\| !o\.borrow\(ctx, request\.Organisation, missing\) \{/if true \{/' $daemon TestSkewedOrganisationGetsItsWholeRate
 mutant lost-reply-is-a-conflict wharf/transport/wharfstore/client.go \
 	's/return trace\.Wrap\(c\.settle\(ctx, commit\)\)/return trace.Wrap(err)/' ./wharf/transport/wharfstore TestCommitResolvesLostReplies
 mutant submission-not-kept wharf/coordination/wharfjobs/jobs.go \
@@ -76,7 +76,7 @@
 mutant signature-not-checked wharf/coordination/wharfrollout/rollout.go \
 	's/if len\(signers\) < r\.options\.Needed \{/if false {/' $daemon TestBundleThatIsInvalid
 mutant not-caught-up wharf/coordination/wharfrollout/rollout.go \
-	's/return view != nil && r\.epoch\.Load\(\) == view\.Self\.Epoch/return view != nil/' $daemon 'TestVersionsOnlyGrow|TestKilledHost|TestKeysAreNeeded'
+	's/return view != nil && r\.epoch\.Load\(\) == view\.Self\.Epoch/return view != nil/' $daemon TestReturningHostServesOnlyWhatIsInForce
 mutant no-reservation wharf/coordination/wharfonce/once.go \
 	's/wharfstorage\.At\(request\.key\(\), 0\)\}/wharfstorage.At(request.key(), 0)}[:0]/' $daemon TestNonRepeatableRequestsRunAtMostOnce
 mutant retried-though-sent wharf/transport/wharfentry/plain.go \
@@ -84,7 +84,7 @@
 mutant unknown-called-not-run wharf/transport/wharfentry/plain.go \
 	's/return endpointRefusal\(err, c\.sent\)/return errNotReached/' $daemon TestNotRunIsTrue
 mutant answers-not-checked wharf/protocol/wharfapi/api.go \
-	's/return strings\.HasSuffix\(c\.ID, requestID\)/return true/; s/"strings"\n//; s/strings\.[A-Z][a-z]+//' $daemon TestCallerGetsItsOwnWholeAnswer
+	's/return strings\.HasSuffix\(c\.ID, requestID\)/return strings.HasSuffix(requestID, "")/' $daemon TestCallerGetsItsOwnWholeAnswer
 mutant cut-stream-looks-whole wharf/protocol/wharfevents/reader.go \
 	's/return nil, ErrCutShort/return nil, io.EOF/' $daemon TestCallerGetsItsOwnWholeAnswer
 mutant silence-not-bounded wharf/transport/wharfengine/client.go \
--- a/wagtailwharfd/wharfdaemon/answers_test.go
+++ b/wagtailwharfd/wharfdaemon/answers_test.go
@@ -40,7 +40,9 @@
 		"crossed": {Cross: 1},
 		"cut":     {Cut: 1},
 		"hanging": {Hang: 1},
-		"all":     {Cross: 1, Cut: 1, Hang: 1},
+		"body":    {CrossBody: 2},
+		"ended":   {End: 2},
+		"all":     {Cross: 1, CrossBody: 1, Cut: 1, End: 1, Hang: 1},
 	}
 	for name, fault := range faults {
 		for _, stream := range []bool{false, true} {
--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -152,8 +152,8 @@
 	})
 	d.reporter = wharfreport.New(d.member, d.runner, d.peers, func() *wharfpick.Picker { return d.picker })
 	d.orders = wharforder.New(s.Zone, d.member, d.rollout.Snapshot, d.client)
-	if s.Policies.Rate == wharfsettings.RateStatic {
-		d.drawer.Static()
+	if s.Policies.Rate == wharfsettings.RateShared {
+		d.owner.Lender = d.drawer.Draw
 	}
 	if s.Policies.Endpoint == wharfsettings.EndpointRandom {
 		d.picker.Random()
--- a/wagtailwharfd/wharfdaemon/keys_test.go
+++ b/wagtailwharfd/wharfdaemon/keys_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,6 +169,39 @@
 	assert.Assert(t, time.Since(healed) < 4*time.Second)
 }
 
+func TestReturningHostServesOnlyWhatIsInForce(t *testing.T) {
+	c := newCluster(t, threeHosts)
+	lonely := c.nodes[0]
+	var off atomic.Bool
+	detour := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if off.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		c.platform.ServeHTTP(w, r)
+	}))
+	lonely.kill()
+	settings := lonely.settings
+	settings.Platform = detour
+	lonely = c.run(settings)
+	c.nodes[0] = lonely
+	c.awaitReady()
+	off.Store(true)
+	c.setCut(func(from, to string) bool { return from == settings.Host || to == settings.Host })
+	c.eventually(10*leaseTerm, func() bool { return len(c.members("a")) == 2 })
+	withdrawn := strings.Replace(c.bundle, keyTable("alpha-1", "alpha", keyOf("alpha")), "", 1)
+	status, result := c.applyAt(c.nodes[1], 1, withdrawn)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, result.InForce, "a host that was reclaimed is not waited for")
+	c.setCut(nil)
+	off.Store(false)
+	c.eventually(10*leaseTerm, func() bool {
+		r := lonely.chat(keyOf("alpha"), "hello", 1, false)
+		assert.Assert(t, r.status != http.StatusOK, "a withdrawn key was served by a host that came back")
+		return r.code == "bad-key"
+	})
+}
+
 func TestVersionsOnlyGrow(t *testing.T) {
 	c := newCluster(t, twoZones)
 	stop := make(chan struct{})
--- a/wharf-load/main.go
+++ b/wharf-load/main.go
@@ -12,6 +12,8 @@
 	"github.com/urfave/cli/v3"
 
 	"wagtailwharf.example/wharf-load/wharfdemo"
+	"wagtailwharf.example/wharf-load/wharfexperiment"
+	"wagtailwharf.example/wharf-load/wharfreport"
 	"wagtailwharf.example/wharf-load/wharfstack"
 )
 
@@ -37,6 +39,11 @@
 				&cli.StringFlag{Name: "dir", Value: ".run", Usage: "`FOLDER` for settings, keys, logs and stack.json"},
 				&cli.IntFlag{Name: "daemons", Value: 3, Usage: "daemons in each availability zone"},
 			}, Action: run},
+			{Name: "measure", Usage: "run experiments and write their report", ArgsUsage: "[FILE...]", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "experiments", Value: "wharf-load/experiments", Usage: "`FOLDER` of the experiments that run if none is named"},
+				&cli.StringFlag{Name: "page", Usage: "`FILE` for the page"},
+				&cli.StringFlag{Name: "results", Usage: "`FILE` for the results as JSON"},
+			}, Action: measure},
 		},
 	}
 }
@@ -71,3 +78,41 @@
 	<-ctx.Done()
 	return nil
 }
+
+func measure(ctx context.Context, c *cli.Command) error {
+	files := c.Args().Slice()
+	if len(files) == 0 {
+		var err error
+		files, err = filepath.Glob(filepath.Join(c.String("experiments"), "*.toml"))
+		if err != nil {
+			return err
+		}
+	}
+	report := wharfreport.New()
+	for _, file := range files {
+		experiment, err := wharfexperiment.Read(file)
+		if err != nil {
+			return err
+		}
+		result, err := wharfexperiment.Run(ctx, experiment, c.String("bin"))
+		if err != nil {
+			return fmt.Errorf("%s: %w", file, err)
+		}
+		fmt.Printf("%s: first token p99 %.1f ms, between tokens p99 %.1f ms, batch %.0f tokens/s, worst %.3f, wrongful %.4f\n",
+			result.Name, result.FirstToken.P99, result.BetweenTokens.P99, result.BatchTokens, result.Worst(), result.Wrongful())
+		report.Add(result)
+	}
+	return write(c, report)
+}
+
+func write(c *cli.Command, report *wharfreport.Report) error {
+	if path := c.String("results"); path != "" {
+		if err := report.WriteJSON(path); err != nil {
+			return err
+		}
+	}
+	if path := c.String("page"); path != "" {
+		return report.WritePage(path)
+	}
+	return nil
+}
--- /dev/null
+++ b/wharf-load/wharfexperiment/experiment.go
@@ -0,0 +1,152 @@
+package wharfexperiment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"wagtailwharf.example/wharf-load/wharfstack"
+)
+
+// ErrInvalid says that an experiment file breaks a rule.
+var ErrInvalid = errors.New("invalid experiment")
+
+// Duration is a time.Duration written as text.
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	*d = Duration(value)
+	return err
+}
+
+// Experiment is a deployment, the load on it and the faults.
+type Experiment struct {
+	Name       string     `toml:"name"`
+	Seed       uint64     `toml:"seed"`
+	Length     Duration   `toml:"length"`
+	WarmUp     Duration   `toml:"warm-up"` // not measured
+	Deployment Deployment `toml:"deployment"`
+	Policies   Policies   `toml:"policies"`
+	Online     []Online   `toml:"online"`
+	Batch      Batch      `toml:"batch"`
+	Faults     []Fault    `toml:"fault"`
+}
+
+// Deployment is the size of what is started.
+type Deployment struct {
+	Region         string   `toml:"region"`
+	Zones          int      `toml:"availability-zones"`
+	DaemonsPerZone int      `toml:"daemons-per-zone"`
+	EnginesPerZone int      `toml:"engines-per-zone"`
+	Slots          int      `toml:"slots"`
+	TokenTime      Duration `toml:"token-time"`
+	Service        string   `toml:"service"`
+	LeaseTerm      Duration `toml:"lease-term"`
+	Headroom       float64  `toml:"headroom"`
+}
+
+// Policies are those of the daemons' settings; empty for the default.
+type Policies struct {
+	Batch    string `toml:"batch"`
+	Endpoint string `toml:"endpoint"`
+	Rate     string `toml:"rate"`
+	Queue    string `toml:"queue"`
+}
+
+// Online is the load of one organisation, in requests a second, with times counted from the start.
+type Online struct {
+	Organisation string   `toml:"organisation"`
+	Rate         float64  `toml:"rate"`  // allowed
+	Burst        float64  `toml:"burst"` // allowed
+	Sent         float64  `toml:"sent"`  // requests a second
+	Tokens       int      `toml:"tokens"`
+	From         Duration `toml:"from"`
+	Until        Duration `toml:"until"`
+	OneZone      bool     `toml:"one-zone"` // all through the first zone's hosts
+	Weight       float64  `toml:"weight"`
+}
+
+// Batch is the batch work that is there from the start; 0 items for none.
+type Batch struct {
+	Organisation string `toml:"organisation"`
+	Items        int    `toml:"items"`
+	Tokens       int    `toml:"tokens"`
+}
+
+// Fault is something that goes wrong, and its end if it has one.
+type Fault struct {
+	Kind  string   `toml:"kind"`
+	At    Duration `toml:"at"`
+	Until Duration `toml:"until"`
+}
+
+// Kinds of fault.
+const (
+	KillDaemon   = "kill-daemon"
+	KillWorker   = "kill-worker"
+	FreezeDaemon = "freeze-daemon"
+	PlatformDown = "platform-down"
+	ZoneCut      = "platform-cut"
+	Poison       = "poison"
+)
+
+// Read reads an experiment file.
+func Read(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var e Experiment
+	meta, err := toml.Decode(string(text), &e)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %v", ErrInvalid, path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("%w: %s: unknown key %q", ErrInvalid, path, unknown[0])
+	}
+	if e.Length <= 0 || e.Deployment.Zones < 1 || len(e.Online) == 0 {
+		return nil, fmt.Errorf("%w: %s: length, deployment and online are needed", ErrInvalid, path)
+	}
+	return &e, nil
+}
+
+// stack returns the deployment's options.
+func (e *Experiment) stack(bin, dir string) wharfstack.Options {
+	options := wharfstack.Options{
+		Bin:            bin,
+		Dir:            dir,
+		Region:         e.Deployment.Region,
+		DaemonsPerZone: e.Deployment.DaemonsPerZone,
+		EnginesPerZone: e.Deployment.EnginesPerZone,
+		Slots:          e.Deployment.Slots,
+		TokenTime:      time.Duration(e.Deployment.TokenTime),
+		Service:        e.Deployment.Service,
+		LeaseTerm:      time.Duration(e.Deployment.LeaseTerm),
+		Headroom:       e.Deployment.Headroom,
+		Policies: map[string]string{
+			"batch": e.Policies.Batch, "endpoint": e.Policies.Endpoint, "rate": e.Policies.Rate, "queue": e.Policies.Queue,
+		},
+	}
+	for i := range e.Deployment.Zones {
+		options.Zones = append(options.Zones, fmt.Sprintf("%s-%c", e.Deployment.Region, 'a'+i))
+	}
+	seen := map[string]bool{}
+	for _, o := range e.Online {
+		if seen[o.Organisation] {
+			continue
+		}
+		seen[o.Organisation] = true
+		options.Organisations = append(options.Organisations, wharfstack.Organisation{
+			Name: o.Organisation, Rate: o.Rate, Burst: o.Burst, Weight: o.Weight,
+		})
+	}
+	if e.Batch.Items > 0 && !seen[e.Batch.Organisation] {
+		options.Organisations = append(options.Organisations, wharfstack.Organisation{Name: e.Batch.Organisation, Rate: 100, Burst: 100})
+	}
+	return options
+}
--- /dev/null
+++ b/wharf-load/wharfexperiment/run.go
@@ -0,0 +1,332 @@
+package wharfexperiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"wagtailwharf.example/wharf-load/wharfcaller"
+	"wagtailwharf.example/wharf-load/wharfstack"
+	"wagtailwharf.example/wharf-standin/wharfmodel"
+	"wagtailwharf.example/wharf-standin/wharfplatform"
+)
+
+const (
+	callTimeout    = 30 * time.Second
+	maxConns       = 4096
+	poisonPeriod   = 300 * time.Millisecond
+	balancerPeriod = 250 * time.Millisecond
+)
+
+// run is one run of an experiment.
+type run struct {
+	experiment *Experiment
+	stack      *wharfstack.Stack
+	client     *http.Client
+	result     *Result
+	ready      atomic.Pointer[[]*wharfstack.Process]
+	answered   atomic.Int64 // online tokens in the measured part
+}
+
+// Run starts the deployment, loads it and returns what was measured.
+func Run(ctx context.Context, e *Experiment, bin string) (*Result, error) {
+	dir, err := os.MkdirTemp("", "wharf-measure-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	stack, err := wharfstack.Start(ctx, e.stack(bin, dir))
+	if err != nil {
+		return nil, err
+	}
+	defer stack.Stop()
+	r := &run{
+		experiment: e,
+		stack:      stack,
+		client:     &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxConns}},
+		result:     newResult(e),
+	}
+	r.ready.Store(&stack.Daemons)
+	return r.result, r.load(ctx)
+}
+
+func (r *run) load(ctx context.Context) error {
+	e := r.experiment
+	if err := r.submitBatch(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(e.Length))
+	defer cancel()
+	r.result.started = time.Now()
+	var work sync.WaitGroup
+	work.Go(func() { r.balance(ctx) })
+	for i := range e.Online {
+		work.Go(func() { r.send(ctx, &e.Online[i], uint64(i)) })
+	}
+	for i := range e.Faults {
+		work.Go(func() { r.fault(ctx, &e.Faults[i]) })
+	}
+	sleep(ctx, time.Duration(e.WarmUp))
+	before := r.snapshot()
+	<-ctx.Done()
+	after := r.snapshot()
+	work.Wait()
+	r.finish(before, after)
+	return nil
+}
+
+// balance keeps the list of hosts that are ready, as the platform's balancer does.
+func (r *run) balance(ctx context.Context) {
+	for ctx.Err() == nil {
+		var ready []*wharfstack.Process
+		for _, d := range r.stack.Daemons {
+			if wharfstack.Ready(d) {
+				ready = append(ready, d)
+			}
+		}
+		if len(ready) > 0 {
+			r.ready.Store(&ready)
+		}
+		sleep(ctx, balancerPeriod)
+	}
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *run) caller(organisation string, host *wharfstack.Process) *wharfcaller.Caller {
+	return &wharfcaller.Caller{Base: host.URL, Key: r.stack.Keys[organisation], HTTP: r.client}
+}
+
+func (r *run) submitBatch(ctx context.Context) error {
+	b := r.experiment.Batch
+	if b.Items == 0 {
+		return nil
+	}
+	c := r.caller(b.Organisation, r.stack.Daemons[0])
+	file, err := c.Upload(ctx, wharfcaller.Lines(r.experiment.Deployment.Service, "case", b.Items, b.Tokens))
+	if err != nil {
+		return err
+	}
+	_, err = c.Submit(ctx, file, "measure")
+	return err
+}
+
+// send sends one organisation's requests at random times (a Poisson process), whether or not earlier ones were answered.
+func (r *run) send(ctx context.Context, o *Online, number uint64) {
+	random := rand.New(rand.NewPCG(r.experiment.Seed, number))
+	start := r.result.started
+	sleep(ctx, time.Duration(o.From))
+	bucket := &exactBucket{rate: o.Rate, burst: o.Burst, level: o.Burst, updated: time.Now()}
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	next := time.Now()
+	for i := 0; ctx.Err() == nil; i++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / o.Sent * float64(time.Second)))
+		sleep(ctx, time.Until(next))
+		now := time.Since(start)
+		if ctx.Err() != nil || (o.Until > 0 && now > time.Duration(o.Until)) {
+			return
+		}
+		due := bucket.take(time.Now())
+		host := r.pick(random, o)
+		measured := now > time.Duration(r.experiment.WarmUp) && now < time.Duration(r.experiment.Length-r.tail())
+		prompt := fmt.Sprintf("%s question %d", o.Organisation, i)
+		calls.Go(func() { r.ask(o, host, prompt, due, measured) })
+	}
+}
+
+// tail is the end of an experiment, in which requests are sent but not counted since they may not end in time.
+func (r *run) tail() Duration {
+	return Duration(time.Second)
+}
+
+func (r *run) pick(random *rand.Rand, o *Online) *wharfstack.Process {
+	hosts := *r.ready.Load()
+	if o.OneZone {
+		var near []*wharfstack.Process
+		for _, h := range hosts {
+			if h.Zone == r.stack.Options.Zones[0] {
+				near = append(near, h)
+			}
+		}
+		if len(near) > 0 {
+			hosts = near
+		}
+	}
+	return hosts[random.IntN(len(hosts))]
+}
+
+func (r *run) ask(o *Online, host *wharfstack.Process, prompt string, due, measured bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	timing, err := r.caller(o.Organisation, host).Chat(ctx, r.experiment.Deployment.Service, prompt, o.Tokens, true)
+	if !measured {
+		return
+	}
+	r.result.mu.Lock()
+	defer r.result.mu.Unlock()
+	t := r.result.tally(o.Organisation)
+	t.Sent++
+	if due {
+		t.Due++
+	}
+	if err == nil {
+		t.Answered++
+		r.answered.Add(int64(o.Tokens))
+		record(r.result.first, timing.First)
+		for _, gap := range timing.Gaps {
+			record(r.result.gaps, gap)
+		}
+		return
+	}
+	t.Codes[code(err)]++
+	if due {
+		t.Wrongful++
+		r.result.LastRefusal = time.Since(r.result.started).Seconds()
+	}
+}
+
+func (r *Result) tally(organisation string) *Tally {
+	t := r.Organisations[organisation]
+	if t == nil {
+		t = &Tally{Codes: map[string]int{}}
+		r.Organisations[organisation] = t
+	}
+	return t
+}
+
+func code(err error) string {
+	var refusal *wharfcaller.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return refusal.Code
+	case errors.Is(err, wharfcaller.ErrWrongAnswer):
+		return "wrong-answer"
+	}
+	return "broken"
+}
+
+// fault makes something go wrong, and right again if it has an end.
+func (r *run) fault(ctx context.Context, f *Fault) {
+	sleep(ctx, time.Duration(f.At))
+	if ctx.Err() != nil {
+		return
+	}
+	last := r.stack.Daemons[len(r.stack.Daemons)-1]
+	switch f.Kind {
+	case KillDaemon:
+		r.stack.Kill(last)
+		r.until(ctx, f, func() { _ = r.stack.Restart(last) })
+	case KillWorker:
+		worker := r.stack.Engines[0]
+		r.stack.Kill(worker)
+		r.until(ctx, f, func() { _ = r.stack.Restart(worker) })
+	case FreezeDaemon:
+		_ = r.stack.Signal(last, syscall.SIGSTOP)
+		r.until(ctx, f, func() { _ = r.stack.Signal(last, syscall.SIGCONT) })
+	case PlatformDown:
+		r.setFaults(wharfplatform.Faults{Down: true})
+		r.until(ctx, f, func() { r.setFaults(wharfplatform.Faults{}) })
+	case ZoneCut:
+		r.setFaults(wharfplatform.Faults{CutZones: r.stack.Options.Zones[:1]})
+		r.until(ctx, f, func() { r.setFaults(wharfplatform.Faults{}) })
+	case Poison:
+		r.poison(ctx, f)
+	}
+}
+
+func (r *run) until(ctx context.Context, f *Fault, mend func()) {
+	if f.Until == 0 {
+		return
+	}
+	sleep(ctx, time.Duration(f.Until-f.At))
+	mend()
+}
+
+func (r *run) setFaults(faults wharfplatform.Faults) {
+	data, _ := json.Marshal(faults)
+	request, err := http.NewRequest(http.MethodPut, r.stack.Platform.URL+"/faults", bytes.NewReader(data))
+	if err != nil {
+		return
+	}
+	if response, err := r.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// poison sends a request that crashes engines, again and again, through every host.
+func (r *run) poison(ctx context.Context, f *Fault) {
+	organisation := r.experiment.Online[0].Organisation
+	for i := 0; ctx.Err() == nil && time.Since(r.result.started) < time.Duration(f.Until); i++ {
+		hosts := *r.ready.Load()
+		_, _ = r.caller(organisation, hosts[i%len(hosts)]).Chat(ctx, r.experiment.Deployment.Service, wharfmodel.CrashPrompt, 1, true)
+		sleep(ctx, poisonPeriod)
+	}
+}
+
+// totals are counts of the stand-ins at one moment.
+type totals struct {
+	at       time.Time
+	platform wharfplatform.Counts
+	batch    int64
+	online   int64
+}
+
+func (r *run) snapshot() totals {
+	t := totals{at: time.Now(), online: r.answered.Load()}
+	_ = r.fetch(r.stack.Platform.URL+"/counts", &t.platform)
+	generated := int64(0)
+	for _, e := range r.stack.Engines {
+		var load wharfmodel.Load
+		if r.fetch(e.URL+"/load", &load) == nil {
+			generated += load.Tokens[batchPrefix]
+		}
+	}
+	t.batch = generated
+	return t
+}
+
+// batchPrefix is the first word of the prompts of wharfcaller.Lines, by which engines count tokens apart.
+const batchPrefix = "summarise"
+
+func (r *run) fetch(url string, value any) error {
+	response, err := r.client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(value)
+}
+
+func (r *run) finish(before, after totals) {
+	seconds := after.at.Sub(before.at).Seconds()
+	r.result.Seconds = seconds
+	r.result.FirstToken = quantiles(r.result.first)
+	r.result.BetweenTokens = quantiles(r.result.gaps)
+	r.result.BatchTokens = float64(after.batch-before.batch) / seconds
+	r.result.OnlineTokens = float64(r.answered.Load()) / seconds
+	r.result.PlatformReads = float64(after.platform.Reads-before.platform.Reads) / seconds
+	r.result.RowWrites = float64(after.platform.RowWrites-before.platform.RowWrites) / seconds
+	for _, e := range r.stack.Engines {
+		var load wharfmodel.Load
+		if r.fetch(e.URL+"/load", &load) == nil {
+			r.result.EngineCrashes += load.Crashes
+		}
+	}
+}
--- /dev/null
+++ b/wharf-load/wharfreport/report.go
@@ -0,0 +1,171 @@
+package wharfreport
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"wagtailwharf.example/wharf-load/wharfexperiment"
+)
+
+const fileMode = 0o644
+
+// Report is the results of several experiments, in their order.
+type Report struct {
+	results []*wharfexperiment.Result
+	byName  map[string]*wharfexperiment.Result
+}
+
+// New returns an empty report.
+func New() *Report {
+	return &Report{byName: map[string]*wharfexperiment.Result{}}
+}
+
+// Add adds a result.
+func (r *Report) Add(result *wharfexperiment.Result) {
+	r.results = append(r.results, result)
+	r.byName[result.Name] = result
+}
+
+// WriteJSON writes all results to a file.
+func (r *Report) WriteJSON(path string) error {
+	data, err := json.MarshalIndent(r.results, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), fileMode)
+}
+
+// target is a figure that was named before it was measured.
+type target struct {
+	deployment, measure string
+	bound               string
+	figure              func(*Report, string) (float64, bool)
+	holds               func(float64) bool
+}
+
+func atMost(bound float64) func(float64) bool  { return func(f float64) bool { return f <= bound } }
+func atLeast(bound float64) func(float64) bool { return func(f float64) bool { return f >= bound } }
+
+func (r *Report) targets() []target {
+	var targets []target
+	for _, deployment := range []string{"volta", "floralia"} {
+		targets = append(targets,
+			target{deployment, "first token p99, steady with batch / alone", "≤ 1.1", ratio("steady", "online alone", firstToken), atMost(1.1)},
+			target{deployment, "between tokens p99, steady with batch / alone", "≤ 1.1", ratio("steady", "online alone", betweenTokens), atMost(1.1)},
+			target{deployment, "first token p99, burst with batch / alone", "≤ 1.1", ratio("burst", "burst alone", firstToken), atMost(1.1)},
+			target{deployment, "between tokens p99, burst with batch / alone", "≤ 1.1", ratio("burst", "burst alone", betweenTokens), atMost(1.1)},
+			target{deployment, "batch, share of the spare capacity, steady", "≥ 0.9", spare, atLeast(0.9)},
+			target{deployment, "worst-served organisation's share of its due, steady", "≥ 0.95", worst("steady"), atLeast(0.95)},
+			target{deployment, "worst-served organisation's share, one at 5 × its rate", "≥ 0.95", worst("greedy organisation"), atLeast(0.95)},
+			target{deployment, "wrongful refusals, steady", "≤ 0.001", wrongful("steady"), atMost(0.001)},
+		)
+	}
+	return append(targets,
+		target{"volta", "wrongful refusals, a daemon and a worker killed", "≤ 0.01", wrongful("daemon and worker killed"), atMost(0.01)},
+		target{"volta", "wrongful refusals, a daemon frozen past its lease", "≤ 0.01", wrongful("daemon frozen past its lease"), atMost(0.01)},
+		target{"volta", "wrongful refusals, platform down", "≤ 0.001", wrongful("platform down"), atMost(0.001)},
+		target{"volta", "wrongful refusals, a zone cut off from the platform", "≤ 0.001", wrongful("zone cut off from the platform"), atMost(0.001)},
+		target{"volta", "engines crashed by a poison request sent again and again", "≤ 3", crashes, atMost(3)},
+		target{"volta", "last wrongful refusal after the kill at 6 s, in s", "≤ 5", harm("daemon and worker killed", 6), atMost(5)},
+		target{"volta", "last wrongful refusal after the thaw at 14 s, in s", "≤ 5", harm("daemon frozen past its lease", 14), atMost(5)},
+	)
+}
+
+func firstToken(result *wharfexperiment.Result) float64    { return result.FirstToken.P99 }
+func betweenTokens(result *wharfexperiment.Result) float64 { return result.BetweenTokens.P99 }
+
+func ratio(with, alone string, of func(*wharfexperiment.Result) float64) func(*Report, string) (float64, bool) {
+	return func(r *Report, deployment string) (float64, bool) {
+		a, b := r.byName[deployment+" "+with], r.byName[deployment+" "+alone]
+		if a == nil || b == nil || of(b) == 0 {
+			return 0, false
+		}
+		return of(a) / of(b), true
+	}
+}
+
+// spare is batch's rate over what the same engines do with batch alone, less what online generated.
+func spare(r *Report, deployment string) (float64, bool) {
+	steady, alone := r.byName[deployment+" steady"], r.byName[deployment+" batch alone"]
+	if steady == nil || alone == nil {
+		return 0, false
+	}
+	return steady.BatchTokens / (alone.BatchTokens - steady.OnlineTokens), true
+}
+
+func worst(name string) func(*Report, string) (float64, bool) {
+	return of(name, (*wharfexperiment.Result).Worst)
+}
+
+func wrongful(name string) func(*Report, string) (float64, bool) {
+	return of(name, (*wharfexperiment.Result).Wrongful)
+}
+
+func of(name string, figure func(*wharfexperiment.Result) float64) func(*Report, string) (float64, bool) {
+	return func(r *Report, deployment string) (float64, bool) {
+		result := r.byName[deployment+" "+name]
+		if result == nil {
+			return 0, false
+		}
+		return figure(result), true
+	}
+}
+
+func crashes(r *Report, deployment string) (float64, bool) {
+	return of("poison resent", func(result *wharfexperiment.Result) float64 { return float64(result.EngineCrashes) })(r, deployment)
+}
+
+func harm(name string, since float64) func(*Report, string) (float64, bool) {
+	return of(name, func(result *wharfexperiment.Result) float64 { return max(0, result.LastRefusal-since) })
+}
+
+// WritePage writes the page of measurements.
+func (r *Report) WritePage(path string) error {
+	var page strings.Builder
+	page.WriteString(intro)
+	page.WriteString("## Targets\n\n| deployment | measure | target | measured | |\n|---|---|---|---|---|\n")
+	for _, t := range r.targets() {
+		figure, measured := t.figure(r, t.deployment)
+		verdict := "falls short"
+		text := fmt.Sprintf("%.4g", figure)
+		switch {
+		case !measured:
+			verdict = "not run"
+			text = "-"
+		case t.holds(figure):
+			verdict = "met"
+		}
+		fmt.Fprintf(&page, "| %s | %s | %s | %s | %s |\n", t.deployment, t.measure, t.bound, text, verdict)
+	}
+	page.WriteString("\n## Runs\n\nTimes are in milliseconds: p50 / p95 / p99.\n\n")
+	page.WriteString("| experiment | first token | between tokens | online tokens/s | batch tokens/s | worst share | wrongful | answered / due | reads/s | row writes/s |\n|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, result := range r.results {
+		answered, due := totals(result)
+		fmt.Fprintf(&page, "| %s | %s | %s | %.0f | %.0f | %.3f | %.4f | %d / %d | %.1f | %.1f |\n", result.Name, show(result.FirstToken),
+			show(result.BetweenTokens), result.OnlineTokens, result.BatchTokens, result.Worst(), result.Wrongful(), answered, due,
+			result.PlatformReads, result.RowWrites)
+	}
+	return os.WriteFile(path, []byte(page.String()), fileMode)
+}
+
+const intro = `# Measurements
+
+Written by ` + "`make measure`" + ` from its own output; nothing here is typed in. The experiments, with their seeds, are
+the files of wharf-load/experiments, run in their order on one machine with plain processes on loopback. The latencies
+between availability zones and to the clients are those of loopback; none is added.
+
+`
+
+func show(q wharfexperiment.Quantiles) string {
+	return fmt.Sprintf("%.1f / %.1f / %.1f", q.P50, q.P95, q.P99)
+}
+
+func totals(result *wharfexperiment.Result) (answered, due int) {
+	for _, t := range result.Organisations {
+		answered += t.Answered
+		due += t.Due
+	}
+	return answered, due
+}
--- a/wharf-load/wharfstack/stack.go
+++ b/wharf-load/wharfstack/stack.go
@@ -44,6 +44,7 @@
 	Organisations  []Organisation
 	LeaseTerm      time.Duration
 	Headroom       float64
+	Policies       map[string]string // of the daemons' settings; empty values are left out
 }
 
 // Organisation is an organisation of the deployment; it gets one key.
@@ -263,7 +264,7 @@
 		addresses[k] = address
 	}
 	settings := fmt.Sprintf(settingsText, name, zone, addresses[0], addresses[1], addresses[2], s.Platform.URL,
-		s.Options.LeaseTerm, s.path("peer-token"), s.path("operator-token"), s.Options.Headroom, s.signerKey)
+		s.Options.LeaseTerm, s.path("peer-token"), s.path("operator-token"), s.Options.Headroom, s.signerKey) + s.policies()
 	if err := s.write(name+".toml", settings); err != nil {
 		return nil, err
 	}
@@ -280,6 +281,16 @@
 	return p, s.run(p)
 }
 
+func (s *Stack) policies() string {
+	text := "\n\n[policies]"
+	for name, value := range s.Options.Policies {
+		if value != "" {
+			text += fmt.Sprintf("\n%s = %q", name, value)
+		}
+	}
+	return text
+}
+
 const settingsText = `host = %q
 availability-zone = %q
 callers = %q
@@ -312,7 +323,7 @@
 func (s *Stack) AwaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyLimit)
 	for _, daemon := range s.Daemons {
-		for !ready(daemon) {
+		for !Ready(daemon) {
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return fmt.Errorf("%w: %s", ErrNotReady, daemon.Name)
 			}
@@ -322,7 +333,8 @@
 	return nil
 }
 
-func ready(p *Process) bool {
+// Ready reports whether a daemon says that it may get requests.
+func Ready(p *Process) bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get(p.Operator + "/readyz")
 	if err != nil {
--- a/wharf-standin/wharfmodel/answer.go
+++ b/wharf-standin/wharfmodel/answer.go
@@ -20,7 +20,10 @@
 	parsed  *request
 	id      string
 	text    wharftokens.Text
-	cutAt   int
+	word    string // first of the prompt
+	bodyID  string
+	cutAt   int // token before which the connection breaks, below 0 for none
+	endAt   int // token before which the answer ends early, below 0 for none
 	hang    bool
 }
 
@@ -30,10 +33,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a.cutAt = -1
+	a.endAt = -1
 	if e.control.Cross > 0 {
 		e.control.Cross--
 		a.id += "-crossed"
 	}
+	a.bodyID = a.id
+	if e.control.CrossBody > 0 {
+		e.control.CrossBody--
+		a.bodyID += "-crossed"
+	}
+	if e.control.End > 0 {
+		e.control.End--
+		a.endAt = a.parsed.MaxTokens / 2
+	}
 	if e.control.Cut > 0 {
 		e.control.Cut--
 		a.cutAt = a.parsed.MaxTokens / 2
@@ -84,6 +97,10 @@
 		if i == a.cutAt {
 			panic(http.ErrAbortHandler)
 		}
+		if i == a.endAt {
+			return
+		}
+		a.engine.count(a.word)
 		a.event(a.chunk(a.text.Token(i), ""))
 		flusher.Flush()
 	}
@@ -108,7 +125,7 @@
 	} else {
 		choice["text"] = token
 	}
-	chunk := map[string]any{"id": answerPrefix + a.id, "object": object, "model": a.parsed.Model, "choices": []any{choice}}
+	chunk := map[string]any{"id": answerPrefix + a.bodyID, "object": object, "model": a.parsed.Model, "choices": []any{choice}}
 	if finish != "" {
 		chunk["usage"] = a.usage()
 	}
@@ -127,6 +144,7 @@
 func (a *answer) whole() {
 	for i := a.parsed.ContinueFrom; i < a.parsed.MaxTokens; i++ {
 		a.wait(a.engine.interval())
+		a.engine.count(a.word)
 	}
 	content := a.text.Join(a.parsed.MaxTokens)
 	choice := map[string]any{"index": 0, "finish_reason": "length"}
@@ -138,9 +156,12 @@
 		choice["text"] = content
 	}
 	body, _ := json.Marshal(map[string]any{
-		"id": answerPrefix + a.id, "object": object, "created": time.Now().Unix(), "model": a.parsed.Model,
+		"id": answerPrefix + a.bodyID, "object": object, "created": time.Now().Unix(), "model": a.parsed.Model,
 		"choices": []any{choice}, "usage": a.usage(),
 	})
+	if a.endAt >= 0 {
+		body = body[:len(body)/2]
+	}
 	a.writer.Header().Set("Content-Type", "application/json")
 	a.writer.Header().Set(requestIDHeader, a.id)
 	a.writer.Header().Set("Content-Length", fmt.Sprint(len(body)))
--- a/wharf-standin/wharfmodel/engine.go
+++ b/wharf-standin/wharfmodel/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -50,15 +51,18 @@
 	crashed int64
 	peak    int
 	total   int64
+	tokens  map[string]int64
 	seen    []string
 }
 
 // Control is the misbehaviour of an engine; counts apply to that many next answers.
 type Control struct {
-	Cross  int  `json:"cross"`
-	Cut    int  `json:"cut"`
-	Silent bool `json:"silent"`
-	Hang   int  `json:"hang"`
+	Cross     int  `json:"cross"`      // answers with another request's id
+	CrossBody int  `json:"cross-body"` // answers whose body alone has another request's id
+	Cut       int  `json:"cut"`        // answers whose connection breaks
+	End       int  `json:"end"`        // answers that end early, with their connection whole
+	Hang      int  `json:"hang"`       // answers that never come
+	Silent    bool `json:"silent"`     // connections on which nothing comes any more
 }
 
 // Order is the last order that the engine took.
@@ -70,10 +74,11 @@
 
 // Load is a report of the engine's load, as old as the engine's load lag.
 type Load struct {
-	Running int   `json:"running"`
-	Total   int64 `json:"total"`
-	Crashes int64 `json:"crashes"`
-	Peak    int   `json:"peak"`
+	Running int              `json:"running"`
+	Total   int64            `json:"total"`
+	Crashes int64            `json:"crashes"`
+	Peak    int              `json:"peak"`
+	Tokens  map[string]int64 `json:"tokens"` // generated, by the first word of the prompt
 }
 
 type load struct {
@@ -87,6 +92,7 @@
 		options: options,
 		mux:     http.NewServeMux(),
 		running: map[string]chan struct{}{},
+		tokens:  map[string]int64{},
 		cache:   newPrefixCache(options.CacheEntries),
 	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.generate)
@@ -119,7 +125,19 @@
 func (e *Engine) Load() Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Load{Running: len(e.running), Total: e.total, Crashes: e.crashed, Peak: e.peak}
+	return e.report(len(e.running))
+}
+
+// report runs with the lock held.
+func (e *Engine) report(running int) Load {
+	return Load{Running: running, Total: e.total, Crashes: e.crashed, Peak: e.peak, Tokens: maps.Clone(e.tokens)}
+}
+
+// count counts one generated token.
+func (e *Engine) count(word string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tokens[word]++
 }
 
 // Order returns the last order taken.
@@ -195,7 +213,8 @@
 		time.Sleep(e.options.TokenTime)
 		e.crash()
 	}
-	a := &answer{engine: e, writer: w, broken: broken, request: r, parsed: &parsed, id: id, text: wharftokens.For(prompt)}
+	word, _, _ := strings.Cut(prompt, " ")
+	a := &answer{engine: e, word: word, writer: w, broken: broken, request: r, parsed: &parsed, id: id, text: wharftokens.For(prompt)}
 	a.shape()
 	a.prefill(prompt)
 	if parsed.Stream {
@@ -271,7 +290,7 @@
 			running = l.running
 		}
 	}
-	report := Load{Running: running, Total: e.total, Crashes: e.crashed, Peak: e.peak}
+	report := e.report(running)
 	e.mu.Unlock()
 	reply(w, report)
 }
--- a/wharf/coordination/wharfquota/drawer.go
+++ b/wharf/coordination/wharfquota/drawer.go
@@ -19,13 +19,14 @@
 )
 
 const (
-	drawTimeout    = 300 * time.Millisecond
+	drawTimeout    = NeedTerm
 	ownerBackoff   = 500 * time.Millisecond
 	directoryAge   = 20 * time.Second
 	directoryRetry = time.Second
 	demandWindow   = 100 * time.Millisecond
 	largestDraw    = 64
 	rankedOwners   = 2
+	longestRefusal = 100 * time.Millisecond // for which refusals are answered without asking the owner again
 )
 
 // Sentinel errors of admission by rate.
@@ -49,19 +50,15 @@
 	owners  sync.Map // shard's row key → netip.AddrPort
 	scanMu  sync.Mutex
 	scanned time.Time
-	static  bool
-}
-
-// Static has the drawer keep to its own zone's share, as a static split does.
-func (d *Drawer) Static() {
-	d.static = true
 }
 
 type purse struct {
 	grant   wharfgrant.Grant
 	waiting atomic.Int64
 	mu      sync.Mutex
-	closed  map[string]time.Time
+	closed  time.Time // until which requests are refused without asking
+	refused error     // why
+	rests   map[string]time.Time
 	window  time.Time
 	recent  int
 }
@@ -105,61 +102,54 @@
 	if p, ok := d.purses.Load(organisation); ok {
 		return p.(*purse)
 	}
-	p, _ := d.purses.LoadOrStore(organisation, &purse{closed: map[string]time.Time{}})
+	p, _ := d.purses.LoadOrStore(organisation, &purse{rests: map[string]time.Time{}})
 	return p.(*purse)
 }
 
-// refill draws from the first zone that grants; the caller holds the purse.
+// refill draws a token for each request that waits; the caller holds the purse. The own zone's owner answers for all
+// zones, since it borrows from them; another zone's is asked only where that one can't be reached.
 func (d *Drawer) refill(ctx context.Context, p *purse, organisation *wharfsnapshot.Organisation) (time.Duration, error) {
-	want := p.want(time.Now())
-	shortest := time.Duration(0)
-	reached := false
+	now := time.Now()
+	if wait := p.closed.Sub(now); wait > 0 {
+		return wait, p.refused
+	}
+	request := DrawRequest{Organisation: organisation.Name, Need: float64(p.waiting.Load()), Ahead: p.ahead(now)}
 	for _, zone := range d.zones(organisation) {
-		now := time.Now()
-		if wait := p.closed[zone].Sub(now); wait > 0 {
-			shortest = shorter(shortest, wait)
-			reached = true
+		if now.Before(p.rests[zone]) {
 			continue
 		}
-		reply, err := d.draw(ctx, zone, DrawRequest{Organisation: organisation.Name, Want: want})
+		sent := time.Now()
+		reply, err := d.Draw(ctx, zone, request)
 		if err != nil {
-			p.closed[zone] = now.Add(ownerBackoff)
-			shortest = shorter(shortest, ownerBackoff)
+			p.rests[zone] = sent.Add(ownerBackoff)
 			continue
 		}
-		reached = true
-		if reply.Tokens > 0 {
-			p.grant.Refill(reply.Tokens, now.Add(GrantTerm))
-			if p.grant.Spend(time.Now()) {
-				return 0, nil
-			}
-			continue
+		if reply.Tokens >= 1 {
+			p.grant.Refill(int(reply.Tokens), sent.Add(reply.Term))
 		}
-		p.closed[zone] = now.Add(reply.Wait)
-		shortest = shorter(shortest, reply.Wait)
-	}
-	if !reached {
-		return shortest, ErrNoOwner
+		if p.grant.Spend(time.Now()) {
+			return 0, nil
+		}
+		return p.refuse(reply.Wait, ErrOverRate)
 	}
-	return shortest, ErrOverRate
+	return p.refuse(ownerBackoff/2, ErrNoOwner)
 }
 
-func shorter(a, b time.Duration) time.Duration {
-	if a == 0 {
-		return b
-	}
-	return min(a, b)
+// refuse has later requests refused at once until it is worth asking again.
+func (p *purse) refuse(wait time.Duration, err error) (time.Duration, error) {
+	p.closed = time.Now().Add(min(wait, longestRefusal))
+	p.refused = err
+	return wait, err
 }
 
-// want is as many tokens as were used or are waited for in a short window.
-func (p *purse) want(now time.Time) int {
+// ahead is as many tokens as were used in a short window, beyond those that are waited for.
+func (p *purse) ahead(now time.Time) float64 {
 	if now.Sub(p.window) > demandWindow {
 		p.window = now
 		p.recent = 0
 	}
 	p.recent++
-	want := max(p.recent, int(p.waiting.Load()))
-	return min(want, largestDraw)
+	return float64(min(p.recent-1, largestDraw))
 }
 
 // zones returns the zones in which an organisation has a share, this one first.
@@ -173,14 +163,11 @@
 	if own < 0 {
 		return zones
 	}
-	if d.static {
-		return zones[own : own+1]
-	}
 	return slices.Concat(zones[own:], zones[:own])
 }
 
-// draw asks the known owner of the organisation's shard in a zone, then those that are likely to own it by now.
-func (d *Drawer) draw(ctx context.Context, zone string, request DrawRequest) (DrawReply, error) {
+// Draw asks the known owner of the organisation's shard in a zone, then those that are likely to own it by now.
+func (d *Drawer) Draw(ctx context.Context, zone string, request DrawRequest) (DrawReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	key := ShardKey(zone, ShardOf(request.Organisation))
--- a/wharf/coordination/wharfquota/messages.go
+++ b/wharf/coordination/wharfquota/messages.go
@@ -9,12 +9,15 @@
 // DrawRequest asks the owner of an organisation's bucket for tokens.
 type DrawRequest struct {
 	Organisation string
-	Want         int
+	Need         float64 // tokens that requests wait for
+	Ahead        float64 // tokens beyond those that would be used soon
+	Loan         bool    // asked by another zone's owner, which takes parts of tokens too
 }
 
-// DrawReply is the tokens granted, and if there are none how long until one may be.
+// DrawReply is the tokens granted, and if they are fewer than needed how long until one more may be there.
 type DrawReply struct {
-	Tokens   int
+	Tokens   float64
+	Term     time.Duration // for which they may be spent, from the request's sending
 	Wait     time.Duration
 	NotOwner bool
 }
--- a/wharf/protocol/wharfsettings/settings.go
+++ b/wharf/protocol/wharfsettings/settings.go
@@ -124,7 +124,7 @@
 			Attempts:       3,
 			RetryShare:     0.1,
 		},
-		Batch: Batch{Headroom: 0.25},
+		Batch:    Batch{Headroom: 0.375},
 		Policies: Policies{Batch: BatchGivesWay, Endpoint: EndpointTwoChoices, Rate: RateShared, Queue: QueueFair},
 		Drain:    Drain{Grace: Duration(2 * time.Second), Limit: Duration(60 * time.Second)},
 	}
--- a/wharf/state/wharfbucket/bucket.go
+++ b/wharf/state/wharfbucket/bucket.go
@@ -1,6 +1,9 @@
 package wharfbucket
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Bucket is a token bucket whose outstanding grants count against its burst until they expire,
 // so that in every window admitted tokens stay within burst + rate × window.
@@ -55,22 +58,41 @@
 	b.level = min(b.level, max(0, burst-b.outstanding))
 }
 
-// Draw takes up to want whole tokens that may be spent until term from now, and returns how many.
-func (b *Bucket) Draw(want int, term time.Duration, now time.Time) int {
+// Take grants tokens that may be spent until term from now, and reports whether they were there.
+func (b *Bucket) Take(tokens float64, term time.Duration, now time.Time) bool {
 	b.advance(now)
-	if now.Before(b.closedUntil) || want <= 0 {
-		return 0
+	if now.Before(b.closedUntil) || tokens <= 0 || tokens > b.level+rounding {
+		return false
 	}
-	tokens := min(want, int(b.level))
-	if tokens <= 0 {
-		return 0
+	b.level = max(0, b.level-tokens)
+	b.outstanding += tokens
+	b.insert(grant{tokens: tokens, expires: now.Add(term)})
+	return true
+}
+
+const rounding = 1e-9 // of a token, lost in adding parts up
+
+// Add puts in tokens that were taken out of another zone's bucket within their term, as far as there is room.
+func (b *Bucket) Add(tokens float64, now time.Time) {
+	b.advance(now)
+	if now.Before(b.closedUntil) {
+		return
 	}
-	b.level -= float64(tokens)
-	b.outstanding += float64(tokens)
-	b.grants = append(b.grants, grant{tokens: float64(tokens), expires: now.Add(term)})
-	return tokens
+	room := max(0, b.burst-b.outstanding)
+	b.level = min(room, b.level+tokens)
+}
+
+// insert keeps the grants in the order of their ends.
+func (b *Bucket) insert(g grant) {
+	i, _ := slices.BinarySearchFunc(b.grants, g, func(a, b grant) int { return a.expires.Compare(b.expires) })
+	b.grants = slices.Insert(b.grants, i, g)
 }
 
+const (
+	sparePart = 4    // part of what is left that one drawer may take ahead
+	leastDraw = 0.01 // tokens that are worth a grant
+)
+
 // Wait returns how long until a whole token can be drawn.
 func (b *Bucket) Wait(now time.Time) time.Duration {
 	b.advance(now)
@@ -83,9 +105,12 @@
 	return time.Duration((1 - b.level) / b.rate * float64(time.Second))
 }
 
-// Level returns the tokens that could be drawn now.
+// Level returns the tokens that could be taken now.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.advance(now)
+	if now.Before(b.closedUntil) {
+		return 0
+	}
 	return b.level
 }
 
--- a/wharf/state/wharfbucket/bucket_test.go
+++ b/wharf/state/wharfbucket/bucket_test.go
@@ -13,34 +13,61 @@
 // spend is the moment at which a drawn token is used, at the latest when its grant ends.
 type spend struct {
 	at     time.Duration
-	tokens int
+	tokens float64
 }
 
 // checkWindows requires that in every window, of every length, no more is spent than burst + rate × window.
 func checkWindows(t interface{ Fatalf(string, ...any) }, spends []spend, rate, burst float64) {
 	for i := range spends {
-		total := 0
+		total := 0.0
 		for j := i; j < len(spends); j++ {
 			total += spends[j].tokens
 			window := spends[j].at - spends[i].at
-			if allowed := burst + rate*window.Seconds(); float64(total) > allowed+1e-6 {
-				t.Fatalf("%d tokens spent in %v, but only %.3f allowed", total, window, allowed)
+			if allowed := burst + rate*window.Seconds(); total > allowed+1e-6 {
+				t.Fatalf("%.3f tokens spent in %v, but only %.3f allowed", total, window, allowed)
 			}
 		}
 	}
 }
 
-// drawn is the history of draws from buckets that follow one another; each token is spent late or early as chosen.
-type drawn struct {
-	bucket *Bucket
-	start  time.Time
-	now    time.Time
-	spends []spend
+// zones is the history of two zones' buckets of one organisation, which lend to each other.
+type zones struct {
+	buckets [2]*Bucket
+	start   time.Time
+	now     time.Time
+	lent    []loan
+	spends  []spend
 }
 
-func (d *drawn) draw(want int, delay time.Duration) {
-	if tokens := d.bucket.Draw(want, term, d.now); tokens > 0 {
-		d.spends = append(d.spends, spend{at: d.now.Sub(d.start) + delay, tokens: tokens})
+// loan is on its way from one zone's bucket to the other's.
+type loan struct {
+	to      int
+	tokens  float64
+	expires time.Time
+}
+
+func (z *zones) draw(zone int, tokens float64, term, delay time.Duration) {
+	if z.buckets[zone].Take(tokens, term, z.now) {
+		z.spends = append(z.spends, spend{at: z.now.Sub(z.start) + delay, tokens: tokens})
+	}
+}
+
+func (z *zones) lend(from int, part float64) {
+	tokens := z.buckets[from].Level(z.now) * part
+	if z.buckets[from].Take(tokens, term, z.now) {
+		z.lent = append(z.lent, loan{to: 1 - from, tokens: tokens, expires: z.now.Add(term)})
+	}
+}
+
+// arrive delivers the oldest loan, unless it is too late.
+func (z *zones) arrive() {
+	if len(z.lent) == 0 {
+		return
+	}
+	l := z.lent[0]
+	z.lent = z.lent[1:]
+	if z.now.Before(l.expires) {
+		z.buckets[l.to].Add(l.tokens, z.now)
 	}
 }
 
@@ -57,42 +84,52 @@
 		rate := rapid.Float64Range(0.5, 50).Draw(t, "rate")
 		burst := rapid.Float64Range(1, 40).Draw(t, "burst")
 		start := time.Unix(0, 0)
-		d := &drawn{bucket: New(rate, burst, start), start: start, now: start}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			d.now = d.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
-			case 0: // the owner dies and another inherits once its lease is reclaimed
-				d.bucket = Inherit(rate, burst, d.now, term)
-			case 1: // the owner hands over
-				level, outstanding := d.bucket.Release(d.now)
-				d.bucket = Restore(rate, burst, level, outstanding, d.now, term)
-			default:
-				want := rapid.IntRange(1, 30).Draw(t, "want")
-				delay := time.Duration(rapid.Int64Range(0, int64(term)-1).Draw(t, "delay"))
-				d.draw(want, delay)
-			}
+		z := &zones{start: start, now: start}
+		z.buckets = [2]*Bucket{New(rate/2, burst/2, start), New(rate/2, burst/2, start)}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			z.now = z.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			z.step(t, rate/2, burst/2)
 		}
-		sortSpends(d.spends)
-		checkWindows(t, d.spends, rate, burst)
+		sortSpends(z.spends)
+		checkWindows(t, z.spends, rate, burst)
 	})
 }
 
-func TestDraw(t *testing.T) {
+func (z *zones) step(t *rapid.T, rate, burst float64) {
+	zone := rapid.IntRange(0, 1).Draw(t, "zone")
+	switch rapid.IntRange(0, 11).Draw(t, "event") {
+	case 0: // the owner dies and another inherits once its lease is reclaimed
+		z.buckets[zone] = Inherit(rate, burst, z.now, term)
+	case 1: // the owner hands over
+		level, outstanding := z.buckets[zone].Release(z.now)
+		z.buckets[zone] = Restore(rate, burst, level, outstanding, z.now, term)
+	case 2, 3:
+		z.lend(zone, rapid.Float64Range(0, 1).Draw(t, "part"))
+	case 4, 5:
+		z.arrive()
+	default:
+		tokens := rapid.Float64Range(0.1, 30).Draw(t, "tokens")
+		length := rapid.SampledFrom([]time.Duration{term, term / 3}).Draw(t, "term")
+		delay := time.Duration(rapid.Int64Range(0, int64(length)-1).Draw(t, "delay"))
+		z.draw(zone, min(tokens, z.buckets[zone].Level(z.now)), length, delay)
+	}
+}
+
+func TestTake(t *testing.T) {
 	start := time.Unix(0, 0)
 	tests := []struct {
-		name  string
-		want  int
-		after time.Duration
-		drawn int
+		name   string
+		tokens float64
+		taken  bool
 	}{
-		{name: "within the burst", want: 4, drawn: 4},
-		{name: "more than the burst", want: 99, drawn: 10},
-		{name: "nothing", want: 0, drawn: 0},
+		{name: "within the burst", tokens: 4, taken: true},
+		{name: "all", tokens: 10, taken: true},
+		{name: "more than the burst", tokens: 10.5},
+		{name: "nothing", tokens: 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := New(5, 10, start)
-			assert.Equal(t, b.Draw(test.want, term, start.Add(test.after)), test.drawn)
+			assert.Equal(t, New(5, 10, start).Take(test.tokens, term, start), test.taken)
 		})
 	}
 }
@@ -100,15 +137,15 @@
 func TestOutstandingGrantsLeaveNoRoom(t *testing.T) {
 	start := time.Unix(0, 0)
 	b := New(1000, 10, start)
-	assert.Equal(t, b.Draw(10, term, start), 10)
-	assert.Equal(t, b.Draw(10, term, start.Add(term/2)), 0)
-	assert.Equal(t, b.Draw(10, term, start.Add(term+20*time.Millisecond)), 10)
+	assert.Assert(t, b.Take(10, term, start))
+	assert.Assert(t, !b.Take(1, term, start.Add(term/2)))
+	assert.Assert(t, b.Take(10, term, start.Add(term+20*time.Millisecond)))
 }
 
 func TestInheritedBucketIsClosedForTheHold(t *testing.T) {
 	start := time.Unix(0, 0)
 	b := Inherit(10, 10, start, term)
-	assert.Equal(t, b.Draw(1, term, start.Add(term-time.Millisecond)), 0)
+	assert.Assert(t, !b.Take(1, term, start.Add(term-time.Millisecond)))
 	assert.Assert(t, b.Wait(start) >= term)
-	assert.Equal(t, b.Draw(10, term, start.Add(term+time.Second)), 10)
+	assert.Assert(t, b.Take(10, term, start.Add(term+time.Second)))
 }
--- a/wharf/state/wharfpick/picker.go
+++ b/wharf/state/wharfpick/picker.go
@@ -15,7 +15,7 @@
 	faultsToEject   = 3
 	firstEjection   = time.Second
 	longestEjection = 15 * time.Second
-	overcommit      = 2.0
+	overcommit      = 2
 	affinitySkew    = 0.25 // of an endpoint's slots
 )
 
@@ -30,7 +30,8 @@
 // Endpoint is what this daemon knows of one endpoint; its counts are safe for concurrent use.
 type Endpoint struct {
 	config   atomic.Pointer[wharfconfig.Endpoint]
-	cap      atomic.Int64
+	share    atomic.Int64 // of the slots, if all daemons of the zone had as many
+	cap      atomic.Int64 // most requests of this daemon
 	running  atomic.Int64
 	faults   atomic.Int64
 	ejected  atomic.Int64 // Unix nanoseconds until which it is ejected
@@ -149,7 +150,7 @@
 		}
 		known[settings.Name] = e
 		e.config.Store(&settings)
-		e.cap.Store(int64(max(1, float64(settings.Slots)*overcommit/float64(max(1, daemons)))))
+		e.divide(settings.Slots, max(1, daemons))
 		e.leaving.Store(settings.Leaving || leaving[settings.Name])
 		g := services[settings.Service]
 		if g == nil {
@@ -162,6 +163,12 @@
 	p.services.Store(&services)
 }
 
+func (e *Endpoint) divide(slots, daemons int) {
+	share := max(1, (slots+daemons-1)/daemons)
+	e.share.Store(int64(share))
+	e.cap.Store(int64(share * overcommit))
+}
+
 func (g *group) add(e *Endpoint, near bool) {
 	if near {
 		g.near = append(g.near, e)
@@ -203,24 +210,39 @@
 	if g == nil {
 		return nil, ErrNone
 	}
-	full := false
-	for _, candidates := range [][]*Endpoint{g.near, g.far} {
-		usable := request.usable(candidates)
-		if len(usable) == 0 {
-			continue
-		}
-		if e := p.choose(&request, usable); e != nil {
-			return e, nil
+	near, far := request.usable(g.near), request.usable(g.far)
+	for _, soft := range []bool{true, false} {
+		for _, usable := range [][]*Endpoint{near, far} {
+			if e := p.choose(&request, withRoom(usable, soft)); e != nil {
+				return e, nil
+			}
 		}
-		full = true
 	}
-	if full {
+	if len(near)+len(far) > 0 {
 		return nil, ErrFull
 	}
 	return nil, ErrNone
 }
 
+// withRoom returns the endpoints on which this daemon runs less than its even share of the slots (soft), or less
+// than all that it may.
+func withRoom(usable []*Endpoint, soft bool) []*Endpoint {
+	if !soft {
+		return usable
+	}
+	free := make([]*Endpoint, 0, len(usable))
+	for _, e := range usable {
+		if e.running.Load() < e.share.Load() {
+			free = append(free, e)
+		}
+	}
+	return free
+}
+
 func (p *Picker) choose(request *Request, usable []*Endpoint) *Endpoint {
+	if len(usable) == 0 {
+		return nil
+	}
 	if !p.random {
 		return request.choose(usable)
 	}
