--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -55,7 +55,7 @@
 	's/room := max\(0, b\.burst-b\.outstanding\)/room := b.burst/' ./wharf/state/wharfbucket TestEveryWindowHoldsRateAndBurst
 mutant new-owner-starts-full wharf/coordination/wharfquota/owner.go \
 	's/inherited: row\.Version != 0 && !last\.Untouched/inherited: false/' $daemon TestNewOwnerDoesNotStartWithAFullBurst
-mutant zones-do-not-lend wharf/coordination/wharfquota/owner.go \
+mutant zones-do-not-lend wharf/coordination/wharfquota/draw.go \
 	's/if missing <= 0 \|\| !o\.borrow\(ctx, request\.Organisation, missing\) \{/if true \{/' $daemon TestSkewedOrganisationGetsItsWholeRate
 mutant lost-reply-is-a-conflict wharf/transport/wharfstore/client.go \
 	's/return trace\.Wrap\(c\.settle\(ctx, commit\)\)/return trace.Wrap(err)/' ./wharf/transport/wharfstore TestCommitResolvesLostReplies
@@ -69,11 +69,11 @@
 	's/if token == "" \{/if true {/' $daemon TestEndpointsNeverSeeKeys
 mutant streams-outlive-keys wharf/transport/wharfentry/server.go \
 	's/a\.cancel\(ErrWithdrawn\)/_ = a/' $daemon TestWithdrawnKey
-mutant accepted-before-confirmed wharf/coordination/wharfrollout/rollout.go \
+mutant accepted-before-confirmed wharf/coordination/wharfrollout/apply.go \
 	's/result\.InForce = len\(result\.Unconfirmed\) == 0/result.InForce = true/' $daemon TestConfigurationIsNotAccepted
-mutant parent-not-checked wharf/coordination/wharfrollout/rollout.go \
+mutant parent-not-checked wharf/coordination/wharfrollout/apply.go \
 	's/if present\.Version != parent \{/if false {/; s/wharfstorage\.At\(currentKey, version\)\}/wharfstorage.At(currentKey, version)}[:0]/' $daemon TestRacingOperators
-mutant signature-not-checked wharf/coordination/wharfrollout/rollout.go \
+mutant signature-not-checked wharf/coordination/wharfrollout/apply.go \
 	's/if len\(signers\) < r\.options\.Needed \{/if false {/' $daemon TestBundleThatIsInvalid
 mutant not-caught-up wharf/coordination/wharfrollout/rollout.go \
 	's/return view != nil && r\.epoch\.Load\(\) == view\.Self\.Epoch/return view != nil/' $daemon TestReturningHostServesOnlyWhatIsInForce
@@ -91,7 +91,7 @@
 	's/time\.AfterFunc\(limit, func\(\) \{ cancel\(ErrSilent\) \}\)/time.AfterFunc(time.Hour, func() {})/; s/w\.timer\.Reset\(limit\)/_ = limit/' $daemon TestSilentConnectionsAreLeft
 mutant poison-not-shared wagtailwharfd/wharfdaemon/spread.go \
 	's/_ = d\.peers\.Strike\(ctx, to, strike\)/_ = strike/' $daemon TestPoisonIsBounded
-mutant stop-without-waiting wagtailwharfd/wharfdaemon/daemon.go \
+mutant stop-without-waiting wagtailwharfd/wharfdaemon/leave.go \
 	's/if err := d\.callers\.Shutdown\(limit\); err != nil/if err := d.callers.Close(); err != nil/' $daemon TestRollingRestart
 mutant list-of-leavers-ignored wharf/state/wharfpick/picker.go \
 	's/settings\.Leaving \|\| leaving\[settings\.Name\]/settings.Leaving/' $daemon TestLeavingEndpoint
--- a/wagtailwharf/chat/chat.go
+++ b/wagtailwharf/chat/chat.go
@@ -40,13 +40,9 @@
 			&cli.StringFlag{Name: "model", Usage: "`NAME` of the model", Required: true},
 			&cli.IntFlag{Name: "max-tokens", Value: 64, Usage: "answer with at most `COUNT` tokens"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Callers(c)
-			if err != nil {
-				return err
-			}
+		Action: f.CallerAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, Model: c.String("model"), Text: strings.Join(c.Args().Slice(), " "), Tokens: c.Int("max-tokens")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/config/apply/apply.go
+++ b/wagtailwharf/config/apply/apply.go
@@ -45,16 +45,12 @@
 			&cli.Int64Flag{Name: "parent", Value: -1, Usage: "`VERSION` that the change was made to (default: the one in force)"},
 			&cli.StringFlag{Name: "operator", Usage: "`NAME` for the history", Sources: cli.EnvVars("USER")},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{
 				Streams: f.Streams, Client: client, File: c.Args().First(), Signatures: c.StringSlice("signature"),
 				Parent: c.Int64("parent"), Operator: c.String("operator"), JSON: c.Bool("json"),
 			})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/config/diff/diff.go
+++ b/wagtailwharf/config/diff/diff.go
@@ -30,13 +30,9 @@
 		Usage:     "compare a bundle file with the configuration in force",
 		ArgsUsage: "FILE",
 		UsageText: "wagtailwharf config diff bundle.toml",
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, File: c.Args().First()})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/config/export/export.go
+++ b/wagtailwharf/config/export/export.go
@@ -31,13 +31,9 @@
 		Usage:     "write the configuration in force, byte for byte",
 		UsageText: "wagtailwharf config export --out bundle.toml",
 		Flags:     []cli.Flag{&cli.StringFlag{Name: "out", Usage: "`FILE` for the bundle (default: standard output)"}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, Out: c.String("out")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/config/history/history.go
+++ b/wagtailwharf/config/history/history.go
@@ -30,13 +30,9 @@
 		Name:      "history",
 		Usage:     "list the accepted configurations",
 		UsageText: "wagtailwharf config history",
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, JSON: c.Bool("json")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/config/import/import.go
+++ b/wagtailwharf/config/import/import.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	wharfapply "wagtailwharf.example/wagtailwharf/config/apply"
+	"wagtailwharf.example/wagtailwharf/wharfclient"
 	"wagtailwharf.example/wagtailwharf/wharfexit"
 	"wagtailwharf.example/wagtailwharf/wharffactory"
 	"wagtailwharf.example/wagtailwharf/wharfsource"
@@ -32,16 +33,12 @@
 			&cli.StringSliceFlag{Name: "signature", Usage: "`FILE` made by config sign; may be given again"},
 			&cli.StringFlag{Name: "operator", Usage: "`NAME` for the history", Sources: cli.EnvVars("USER")},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Hash: c.String("hash"), Options: wharfapply.Options{
 				Streams: f.Streams, Client: client, File: c.Args().First(), Signatures: c.StringSlice("signature"),
 				Parent: -1, Operator: c.String("operator"), JSON: c.Bool("json"),
 			}})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/endpoint/list/list.go
+++ b/wagtailwharf/endpoint/list/list.go
@@ -28,13 +28,9 @@
 		Name:      "list",
 		Usage:     "list the endpoints as the asked host sees them",
 		UsageText: "wagtailwharf endpoint list",
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, JSON: c.Bool("json")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/host/drain/drain.go
+++ b/wagtailwharf/host/drain/drain.go
@@ -25,13 +25,9 @@
 		Name:      "drain",
 		Usage:     "ask the host at --operators for a planned stop",
 		UsageText: "wagtailwharf --operators http://10.0.3.7:7002 host drain",
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, _ *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/host/remove/remove.go
+++ b/wagtailwharf/host/remove/remove.go
@@ -30,13 +30,9 @@
 		ArgsUsage: "HOST",
 		UsageText: "wagtailwharf host remove entry-7 --availability-zone gh-south-a",
 		Flags:     []cli.Flag{&cli.StringFlag{Name: "availability-zone", Usage: "`ZONE` of the host", Required: true}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Operators(c)
-			if err != nil {
-				return err
-			}
+		Action: f.OperatorAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, Zone: c.String("availability-zone"), Host: c.Args().First()})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/job/list/list.go
+++ b/wagtailwharf/job/list/list.go
@@ -34,13 +34,9 @@
 			&cli.StringFlag{Name: "after", Usage: "list the jobs after `JOB`"},
 			&cli.IntFlag{Name: "limit", Value: 20, Usage: "list at most `COUNT` jobs, up to 100"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Callers(c)
-			if err != nil {
-				return err
-			}
+		Action: f.CallerAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, After: c.String("after"), Limit: c.Int("limit"), JSON: c.Bool("json")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/job/results/results.go
+++ b/wagtailwharf/job/results/results.go
@@ -32,13 +32,9 @@
 		ArgsUsage: "JOB",
 		UsageText: "wagtailwharf job results JOB > answers.jsonl",
 		Flags:     []cli.Flag{&cli.BoolFlag{Name: "errors", Usage: "print the items that failed instead"}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Callers(c)
-			if err != nil {
-				return err
-			}
+		Action: f.CallerAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, ID: c.Args().First(), Errors: c.Bool("errors")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/job/status/status.go
+++ b/wagtailwharf/job/status/status.go
@@ -27,13 +27,9 @@
 		Usage:     "show a batch job",
 		ArgsUsage: "JOB",
 		UsageText: "wagtailwharf job status JOB",
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Callers(c)
-			if err != nil {
-				return err
-			}
+		Action: f.CallerAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, ID: c.Args().First(), JSON: c.Bool("json")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/job/submit/submit.go
+++ b/wagtailwharf/job/submit/submit.go
@@ -44,16 +44,12 @@
 			&cli.StringFlag{Name: "window", Value: "24h", Usage: "`DURATION` until the job is due"},
 			&cli.StringFlag{Name: "idempotency-key", Usage: "`KEY` under which a resent submission is the same job"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Callers(c)
-			if err != nil {
-				return err
-			}
+		Action: f.CallerAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{
 				Streams: f.Streams, Client: client, File: c.Args().First(), Endpoint: c.String("endpoint"),
 				Window: c.String("window"), IdempotencyKey: c.String("idempotency-key"), JSON: c.Bool("json"),
 			})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/job/watch/watch.go
+++ b/wagtailwharf/job/watch/watch.go
@@ -31,13 +31,9 @@
 		ArgsUsage: "JOB",
 		UsageText: "wagtailwharf job watch JOB",
 		Flags:     []cli.Flag{&cli.DurationFlag{Name: "period", Value: time.Second, Usage: "look every `DURATION`"}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := f.Callers(c)
-			if err != nil {
-				return err
-			}
+		Action: f.CallerAction(func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error {
 			return Run(ctx, &Options{Streams: f.Streams, Client: client, ID: c.Args().First(), Period: c.Duration("period"), JSON: c.Bool("json")})
-		},
+		}),
 	}
 }
 
--- a/wagtailwharf/wharffactory/factory.go
+++ b/wagtailwharf/wharffactory/factory.go
@@ -2,6 +2,7 @@
 package wharffactory
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"strings"
@@ -25,6 +26,29 @@
 	return &Factory{Streams: streams, Callers: callers, Operators: operators}
 }
 
+// Action is what a command does with the client that it needs.
+type Action func(ctx context.Context, c *cli.Command, client *wharfclient.Client) error
+
+// CallerAction returns the action of a command that calls the callers' interface.
+func (f *Factory) CallerAction(action Action) cli.ActionFunc {
+	return withClient(f.Callers, action)
+}
+
+// OperatorAction returns the action of a command that calls a host's operator interface.
+func (f *Factory) OperatorAction(action Action) cli.ActionFunc {
+	return withClient(f.Operators, action)
+}
+
+func withClient(connect func(*cli.Command) (*wharfclient.Client, error), action Action) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		client, err := connect(c)
+		if err != nil {
+			return err
+		}
+		return action(ctx, c, client)
+	}
+}
+
 // Flags returns the global flags that the clients read.
 func Flags() []cli.Flag {
 	return []cli.Flag{
--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -6,14 +6,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/thejerf/suture/v4"
-	"k8s.io/klog/v2"
 
 	"wagtailwharf.example/wharf/coordination/wharfbatch"
 	"wagtailwharf.example/wharf/coordination/wharfcontrol"
@@ -80,6 +77,8 @@
 	leaving   chan struct{}
 	leavers   atomic.Pointer[[]string] // endpoints that the platform's list says are leaving
 	background
+	endpointsMu sync.Mutex
+	endpoints   endpointView
 }
 
 // Tokens are the deployment's secrets.
@@ -324,93 +323,6 @@
 func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
 func (s service) String() string                  { return s.name }
 
-// tree supervises control and traffic apart; a panic ends the process, since its state can't be trusted afterwards.
-func (d *Daemon) tree(l *listeners, server *rpc.Server) *suture.Supervisor {
-	spec := suture.Spec{PassThroughPanics: true, EventHook: logEvent}
-	root := suture.New("wagtailwharfd", spec)
-	control := suture.New("control", spec)
-	for _, s := range []service{
-		{"loop", d.loop.Serve},
-		{"member", d.member.Serve},
-		{"owner", d.owner.Serve},
-		{"rollout", d.rollout.Serve},
-		{"orders", d.orders.Serve},
-		{"endpoints", d.followEndpoints},
-		{"peers", func(ctx context.Context) error { return d.pool.Serve(ctx, l.peers, server) }},
-		{"operators", func(ctx context.Context) error { return d.serveOperators(ctx, l.operators) }},
-	} {
-		control.Add(s)
-	}
-	traffic := suture.New("traffic", spec)
-	for _, s := range []service{
-		{"drawer", d.drawer.Serve},
-		{"reporter", d.reporter.Serve},
-		{"runner", d.runner.Serve},
-		{"callers", func(ctx context.Context) error { return d.serveCallers(ctx, l.callers) }},
-	} {
-		traffic.Add(s)
-	}
-	root.Add(control)
-	root.Add(traffic)
-	return root
-}
-
-func logEvent(event suture.Event) {
-	klog.InfoS("supervisor", "event", event.String())
-}
-
-func (d *Daemon) serveCallers(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = d.callers.Close() })
-	defer stop()
-	return serveEnded(d.callers.Serve(listener))
-}
-
-func (d *Daemon) serveOperators(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: d.operators, ReadHeaderTimeout: headerTime, WriteTimeout: operatorWrite}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	return serveEnded(server.Serve(listener))
-}
-
-func serveEnded(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart
-	}
-	return trace.Wrap(err)
-}
-
-// leave brings a planned stop about: no new work, then the end of what runs, then the hand-over.
-func (d *Daemon) leave(ctx context.Context) {
-	klog.InfoS("leaving", "host", d.settings.Host)
-	close(d.leaving)
-	d.entry.Closing()
-	var batch sync.WaitGroup
-	limit, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Limit))
-	defer cancel()
-	batch.Go(func() { d.runner.Drain(limit) })
-	pause(ctx, time.Duration(d.settings.Drain.Grace))
-	if err := d.callers.Shutdown(limit); err != nil {
-		klog.ErrorS(err, "requests were cut off at the drain limit")
-	}
-	batch.Wait()
-	last, cancelLast := context.WithTimeout(ctx, leaveLimit)
-	defer cancelLast()
-	d.owner.ReleaseAll(last)
-	if err := d.member.Leave(last); err != nil {
-		klog.ErrorS(err, "place not given up; the zone will reclaim it")
-	}
-	klog.InfoS("left", "host", d.settings.Host)
-}
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (d *Daemon) vars() map[string]any {
 	vars := map[string]any{
 		"counters":       d.metrics.Counters(),
--- a/wagtailwharfd/wharfdaemon/spread.go
+++ b/wagtailwharfd/wharfdaemon/spread.go
@@ -123,10 +123,12 @@
 			leaving = append(leaving, h.Name)
 		}
 	}
-	known := d.leavers.Load()
+	if known := d.leavers.Load(); known != nil && slices.Equal(*known, leaving) {
+		return
+	}
 	d.setLeaving(leaving)
 	view := d.member.View()
-	if view == nil || (known != nil && slices.Equal(*known, leaving)) {
+	if view == nil {
 		return
 	}
 	for _, member := range view.Live {
@@ -145,16 +147,30 @@
 	d.leavers.Store(&names)
 }
 
+// endpointView is what the picker's endpoints follow from.
+type endpointView struct {
+	snapshot *wharfsnapshot.Snapshot
+	leaving  *[]string
+	daemons  int
+}
+
+// updateEndpoints tells the picker of its endpoints if anything that they follow from has changed.
 func (d *Daemon) updateEndpoints(snapshot *wharfsnapshot.Snapshot) {
-	daemons := 1
+	present := endpointView{snapshot: snapshot, leaving: d.leavers.Load(), daemons: 1}
 	if view := d.member.View(); view != nil {
-		daemons = len(view.Live)
+		present.daemons = len(view.Live)
+	}
+	d.endpointsMu.Lock()
+	defer d.endpointsMu.Unlock()
+	if present == d.endpoints || (d.endpoints.snapshot != nil && d.endpoints.snapshot.Version > snapshot.Version) {
+		return
 	}
+	d.endpoints = present
 	leaving := map[string]bool{}
-	if names := d.leavers.Load(); names != nil {
-		for _, name := range *names {
+	if present.leaving != nil {
+		for _, name := range *present.leaving {
 			leaving[name] = true
 		}
 	}
-	d.picker.Update(snapshot.Bundle.Endpoints, leaving, daemons)
+	d.picker.Update(snapshot.Bundle.Endpoints, leaving, present.daemons)
 }
--- a/wharf-load/wharfslope/slope.go
+++ b/wharf-load/wharfslope/slope.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"gonum.org/v1/gonum/stat"
@@ -69,6 +70,7 @@
 		{name: "organisations", sizes: []int{10, 500, 1000, 2000}, shape: func(size int, o *wharfstack.Options) { o.Organisations = organisations(size) }},
 		{name: "endpoints", sizes: []int{10, 100, 400, 1400}, shape: func(size int, o *wharfstack.Options) { o.ExtraEndpoints = size }},
 		{name: "open-jobs", sizes: []int{10, 100, 300, 600}, shape: func(_ int, o *wharfstack.Options) { o.EnginesPerZone = 0 }, work: submitJobs},
+		{name: "requests-a-second", sizes: []int{5, 10, 20, 40}, shape: func(_ int, o *wharfstack.Options) { o.Organisations = organisations(2000) }, work: sendRequests},
 		{name: "configuration-changes", sizes: []int{0, 2, 4, 8}, shape: func(_ int, o *wharfstack.Options) { o.Organisations = organisations(2000) }, work: applyChanges},
 	}
 }
@@ -248,6 +250,27 @@
 	return nil
 }
 
+// sendRequests sends size short requests a second through each daemon, of all organisations in turn.
+func sendRequests(ctx context.Context, s *wharfstack.Stack, size int) error {
+	ctx, cancel := context.WithTimeout(ctx, window-time.Second)
+	defer cancel()
+	var senders sync.WaitGroup
+	for number, d := range s.Daemons {
+		senders.Go(func() {
+			ticker := time.NewTicker(time.Second / time.Duration(size))
+			defer ticker.Stop()
+			for i := number; ctx.Err() == nil; i += len(s.Daemons) {
+				name := s.Options.Organisations[i%len(s.Options.Organisations)].Name
+				c := &wharfcaller.Caller{Base: d.URL, Key: s.Keys[name], HTTP: http.DefaultClient}
+				_, _ = c.Chat(ctx, s.Options.Service, "hello", 1, false)
+				<-ticker.C
+			}
+		})
+	}
+	senders.Wait()
+	return nil
+}
+
 // applyChanges applies changes of one key each, one after another.
 func applyChanges(ctx context.Context, s *wharfstack.Stack, size int) error {
 	for i := range min(size, changesOfTest) {
--- a/wharf/coordination/wharfbatch/adopt.go
+++ b/wharf/coordination/wharfbatch/adopt.go
@@ -17,6 +17,7 @@
 
 const (
 	adoptPeriod = 2 * time.Second
+	endRounds   = 5 // rounds between two looks for jobs that nobody has ended
 	adoptLimit  = 20 * time.Second
 	staleAfter  = 4 * beatPeriod
 )
@@ -33,7 +34,7 @@
 	ticker := time.NewTicker(adoptPeriod)
 	defer ticker.Stop()
 	seen := map[string]sighting{}
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -41,7 +42,9 @@
 		}
 		if r.mayClaim() && r.isFirst("adopt") {
 			r.freeOrphans(ctx, seen)
-			r.endJobs(ctx)
+			if round%endRounds == 0 {
+				r.endJobs(ctx)
+			}
 		}
 	}
 }
--- a/wharf/coordination/wharfbatch/offers.go
+++ b/wharf/coordination/wharfbatch/offers.go
@@ -19,7 +19,7 @@
 
 const (
 	offersAge    = 400 * time.Millisecond
-	offersShare  = 40 // times the length of a scan that its outcome is used
+	offersShare  = 80 // times the length of a scan that its outcome is used
 	offersEach   = 2  // jobs of one organisation in one answer
 	offersMost   = 32 // jobs in one answer
 	offerTimeout = 2 * time.Second
--- a/wharf/transport/wharfentry/generate.go
+++ b/wharf/transport/wharfentry/generate.go
@@ -118,7 +118,7 @@
 		}
 		return nil, gateRefusal(err, wait)
 	}
-	g.server.options.Metrics.Record(g.request.organisation.Name, wharfmetrics.Online, wharfmetrics.Wait, time.Since(now))
+	g.server.options.Metrics.Record(wharfmetrics.All, wharfmetrics.Online, wharfmetrics.Wait, time.Since(now))
 	return e, nil
 }
 
--- a/wharf/transport/wharfmetrics/metrics.go
+++ b/wharf/transport/wharfmetrics/metrics.go
@@ -15,6 +15,9 @@
 	Service = "service"
 )
 
+// All stands for all organisations together, where a measure is not kept for each.
+const All = "all"
+
 // Measures of a request.
 const (
 	FirstToken    = "first-token"
@@ -24,8 +27,8 @@
 )
 
 const (
-	unit        = 100 * time.Microsecond
-	largest     = 10 * time.Minute
+	unit        = 250 * time.Microsecond
+	largest     = 2 * time.Minute
 	precision   = 1
 	quantileMid = 50
 	quantile95  = 95
