--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 measure: build
 	bin/wharf-load measure --results docs/measurements.json --page docs/MEASUREMENTS.md
+	bin/wharf-load plot
 
 slopes: build
 	bin/wharf-load slopes --results docs/slopes.json --page docs/SLOPES.md
--- a/wagtailwharfd/wharfdaemon/spread.go
+++ b/wagtailwharfd/wharfdaemon/spread.go
@@ -55,6 +55,8 @@
 
 // others returns the daemons of all zones, or those of the own zone while the platform does not answer.
 func (d *Daemon) others(ctx context.Context) []wharfzone.Member {
+	ctx, cancel := context.WithTimeout(ctx, spreadLimit/2)
+	defer cancel()
 	zones, err := wharfmember.Zones(ctx, d.store)
 	if view := d.member.View(); err != nil && view != nil {
 		zones = []wharfzone.Zone{view.Zone}
--- a/wharf-load/main.go
+++ b/wharf-load/main.go
@@ -45,6 +45,10 @@
 				&cli.StringFlag{Name: "page", Usage: "`FILE` for the page"},
 				&cli.StringFlag{Name: "results", Usage: "`FILE` for the results as JSON"},
 			}, Action: measure},
+			{Name: "plot", Usage: "draw the results of measure", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "results", Value: "docs/measurements.json", Usage: "`FILE` that measure has written"},
+				&cli.StringFlag{Name: "dir", Value: "docs/plots", Usage: "`FOLDER` for the plots"},
+			}, Action: plots},
 			{Name: "slopes", Usage: "measure how a daemon's control cost grows", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "dimension", Usage: "measure only `NAME`"},
 				&cli.StringFlag{Name: "page", Usage: "`FILE` for the page"},
@@ -145,3 +149,11 @@
 	}
 	return nil
 }
+
+func plots(_ context.Context, c *cli.Command) error {
+	report, err := wharfreport.ReadJSON(c.String("results"))
+	if err != nil {
+		return err
+	}
+	return report.WritePlots(c.String("dir"))
+}
--- a/wharf-load/wharfreport/report.go
+++ b/wharf-load/wharfreport/report.go
@@ -147,9 +147,19 @@
 			show(result.BetweenTokens), result.OnlineTokens, result.BatchTokens, result.Worst(), result.Wrongful(), answered, due,
 			result.PlatformReads, result.RowWrites)
 	}
+	page.WriteString(pictures)
 	return os.WriteFile(path, []byte(page.String()), fileMode)
 }
 
+const pictures = `
+## Plots
+
+![first token](plots/first-token.svg)
+![between tokens](plots/between-tokens.svg)
+![tokens generated](plots/tokens.svg)
+![wrongful refusals](plots/wrongful.svg)
+`
+
 const intro = `# Measurements
 
 Written by ` + "`make measure`" + ` from its own output; nothing here is typed in. The experiments, with their seeds, are
--- a/wharf/coordination/wharfbatch/claim.go
+++ b/wharf/coordination/wharfbatch/claim.go
@@ -42,7 +42,7 @@
 		}
 		if time.Since(saved) >= commitPeriod {
 			saved = time.Now()
-			r.work.Go(func() { r.saveAll(ctx) })
+			r.startSaving(ctx)
 		}
 		if time.Since(swept) >= sweepPeriod {
 			swept = time.Now()
--- a/wharf/coordination/wharfbatch/commit.go
+++ b/wharf/coordination/wharfbatch/commit.go
@@ -20,6 +20,17 @@
 	largestRetry = 5 * time.Second
 )
 
+// startSaving saves beside the claims, unless the platform is so slow that the last time has not ended.
+func (r *Runner) startSaving(ctx context.Context) {
+	if !r.saving.CompareAndSwap(false, true) {
+		return
+	}
+	r.work.Go(func() {
+		defer r.saving.Store(false)
+		r.saveAll(ctx)
+	})
+}
+
 // saveAll commits the fresh results of every chunk, so that a kill costs little work, and gives back the chunks
 // whose service this host runs on no endpoint any more.
 func (r *Runner) saveAll(ctx context.Context) {
--- a/wharf/coordination/wharfbatch/offers.go
+++ b/wharf/coordination/wharfbatch/offers.go
@@ -62,10 +62,12 @@
 		}
 	}
 	view := r.options.Member.View()
+	if !view.InForce(time.Now()) {
+		return nil, trace.Wrap(wharfrow.ErrConflict)
+	}
 	reader, ok := view.Zone.Find(wharfrank.First("offers", view.LiveHosts()))
 	if ok && reader.Host != view.Self.Host && r.options.Peers != nil {
-		reply, err := r.options.Peers.Offers(ctx, reader.Peer, request)
-		if err == nil {
+		if reply, err := r.askReader(ctx, reader.Peer, request); err == nil {
 			return reply.Offers, nil
 		}
 	}
@@ -73,6 +75,12 @@
 	return reply.Offers, trace.Wrap(err)
 }
 
+func (r *Runner) askReader(ctx context.Context, reader netip.AddrPort, request OfferRequest) (OfferReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	return r.options.Peers.Offers(ctx, reader, request)
+}
+
 // HandleOffers answers with open jobs, which it reads seldom enough that reading stays a small part of its work.
 func (r *Runner) HandleOffers(ctx context.Context, request OfferRequest) (OfferReply, error) {
 	b := &r.board
--- a/wharf/coordination/wharfbatch/runner.go
+++ b/wharf/coordination/wharfbatch/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wagtailwharf.example/wharf/coordination/wharfmember"
@@ -44,6 +45,7 @@
 	chunks    map[*chunk]struct{}
 	served    map[string]float64
 	board     board
+	saving    atomic.Bool
 	stopping  bool
 	wake      chan struct{}
 	work      sync.WaitGroup
--- a/wharf/coordination/wharfquota/draw.go
+++ b/wharf/coordination/wharfquota/draw.go
@@ -91,7 +91,7 @@
 func (o *Owner) borrow(ctx context.Context, organisation string, missing float64) float64 {
 	loans := 0.0
 	for _, zone := range o.lenders(organisation, time.Now()) {
-		reply, err := o.Lender(ctx, zone, DrawRequest{Organisation: organisation, Need: missing - loans, Loan: true})
+		reply, err := o.ask(ctx, zone, DrawRequest{Organisation: organisation, Need: missing - loans, Loan: true})
 		if err != nil {
 			o.rest(organisation, zone, ownerBackoff)
 			continue
@@ -107,6 +107,13 @@
 	return loans
 }
 
+// ask gives a lender less time than the drawer gives this owner, so that a silent one does not cost the draw.
+func (o *Owner) ask(ctx context.Context, zone string, request DrawRequest) (DrawReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	return o.Lender(ctx, zone, request)
+}
+
 // lenders returns the other zones that have a share and that have not just said that they have nothing.
 func (o *Owner) lenders(organisation string, now time.Time) []string {
 	config := o.config()
--- a/wharf/coordination/wharfquota/owner.go
+++ b/wharf/coordination/wharfquota/owner.go
@@ -31,11 +31,12 @@
 	// GrantMargin is how much longer the owner counts them, for clocks of unequal rate.
 	GrantMargin = 100 * time.Millisecond
 
-	rounding  = 1e-6                  // of a token, lost in adding parts up
-	leastLoan = 0.02                  // tokens that are worth lending
-	leastWait = 20 * time.Millisecond // between two draws from a bucket that had too little
-	loanTries = 4                     // draws from a bucket while it fills by a token
-	aheadPart = 4                     // part of a bucket that one host may draw ahead
+	rounding    = 1e-6                  // of a token, lost in adding parts up
+	leastLoan   = 0.02                  // tokens that are worth lending
+	leastWait   = 20 * time.Millisecond // between two draws from a bucket that had too little
+	loanTimeout = NeedTerm / 3          // for the answer of another zone's owner
+	loanTries   = 4                     // draws from a bucket while it fills by a token
+	aheadPart   = 4                     // part of a bucket that one host may draw ahead
 
 	ownPeriod = 500 * time.Millisecond
 	ownLimit  = 3 * time.Second
--- a/wharf/coordination/wharfrollout/rollout.go
+++ b/wharf/coordination/wharfrollout/rollout.go
@@ -28,6 +28,7 @@
 const (
 	currentKey    = "config/current"
 	historyPrefix = "config/history/"
+	joinedPeriod  = 100 * time.Millisecond
 	readerPeriod  = time.Second
 	othersPeriod  = 30 * time.Second
 	readersAZone  = 2
@@ -82,14 +83,15 @@
 	return view != nil && r.epoch.Load() == view.Self.Epoch
 }
 
-// Serve pulls configurations until ctx ends: often on two readers of each zone, seldom on the others.
+// Serve pulls configurations until ctx ends: at once after joining, often on two readers of each zone, seldom on the
+// others.
 func (r *Rollout) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(readerPeriod)
+	ticker := time.NewTicker(joinedPeriod)
 	defer ticker.Stop()
 	last := time.Time{}
 	for {
 		view := r.options.Member.View()
-		if !r.CaughtUp() || r.isReader(view) || time.Since(last) > othersPeriod {
+		if time.Since(last) >= r.period(view) {
 			last = time.Now()
 			r.pull(ctx, view)
 		}
@@ -101,6 +103,16 @@
 	}
 }
 
+func (r *Rollout) period(view *wharfmember.View) time.Duration {
+	switch {
+	case view != nil && !r.CaughtUp():
+		return joinedPeriod
+	case r.isReader(view):
+		return readerPeriod
+	}
+	return othersPeriod
+}
+
 func (r *Rollout) isReader(view *wharfmember.View) bool {
 	if view == nil {
 		return true
