Have the liveness check able to fail

Ruled out: a check that can't fail (with no round it is refuted). Change: the variants are no round at all, and hosts that never void promises against one that is back.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -35,7 +35,8 @@
 run one-host holds -DHOSTS=2 -DFIRST=1 -DGENERATIONS=5
 run settle holds -DSETTLE -DGENERATIONS=9 -DFAULTS=2
 run settle-two-hosts holds -DSETTLE -DFIRST=2 -DGENERATIONS=9 -DFAULTS=2
-run settle-too-soon refuted -DSETTLE -DROUNDS=1 -DGENERATIONS=9 -DFAULTS=2
+run settle-no-rounds refuted -DSETTLE -DROUNDS=0 -DGENERATIONS=9 -DFAULTS=2
+run broken-reaffirm refuted -DSETTLE -DBROKEN_REAFFIRM -DGENERATIONS=9 -DFAULTS=2
 run broken-promise refuted -DBROKEN_PROMISE -DGENERATIONS=4
 run broken-adoption refuted -DBROKEN_ADOPTION -DGENERATIONS=4
 run broken-seen refuted -DBROKEN_SEEN -DGENERATIONS=5
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -15,6 +15,7 @@
  * -DBROKEN_SEEN      a host asks for a reclaim in a generation that it has known for less than a term
  * -DBROKEN_RESTART   a restarted voter promises at once
  * -DBROKEN_MARGIN    a voter promises before its own vote has ended
+ * -DBROKEN_REAFFIRM  nobody voids the promises against a host that is back (with SETTLE)
  * -DSETTLE           checks instead that the lease is held again within ROUNDS rounds after faults end
  */
 
@@ -424,8 +425,10 @@
 			tick();
 			adoptAll();
 			joinAll();
+#ifndef BROKEN_REAFFIRM
 			reaffirm();
 			adoptAll();
+#endif
 			grantAll();
 			rounds++
 		:: else -> break
