Let no host be ready without its quota shards, and let none lose one

Reading on, a release whose commit failed left a shard with an owner that had dropped it, for good. One more test failed because a port chosen for a daemon was taken by another connection before it started. Change: shards are looked after every 100 ms, a host is ready once it has owned those that fall to it, a request tries for 0.7 s while no owner is found, and a release is tried until it is committed. Daemons in tests have addresses of their own, and a daemon that ends by itself fails its test.

--- a/wagtailwharfd/wharfdaemon/cluster_test.go
+++ b/wagtailwharfd/wharfdaemon/cluster_test.go
@@ -154,12 +154,21 @@
 	return fmt.Sprintf("[[key]]\nid = %q\norganisation = %q\nsha256 = %q\n\n", id, organisation, wharfconfig.Hash([]byte(key)))
 }
 
-func freePort(t testing.TB) netip.AddrPort {
+// hosts counts the loopback addresses given out; each daemon has its own, so that no connection of another process
+// takes a port of it between its choice and the daemon's start.
+var hosts atomic.Uint32
+
+func freePorts(t testing.TB, ports ...*netip.AddrPort) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	const aByte = 250
+	number := hosts.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, 77, byte(number / aByte), byte(number%aByte) + 1})
+	for _, port := range ports {
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+		assert.NilError(t, err)
+		defer func() { _ = listener.Close() }()
+		*port = netip.MustParseAddrPort(listener.Addr().String())
+	}
 }
 
 func (c *cluster) start(host, zone string) *node {
@@ -168,7 +177,7 @@
 	s.Host = host
 	s.Zone = zone
 	s.Platform = c.base
-	s.Callers, s.Peers, s.Operators = freePort(c.t), freePort(c.t), freePort(c.t)
+	freePorts(c.t, &s.Callers, &s.Peers, &s.Operators)
 	s.Lease.Term = wharfsettings.Duration(leaseTerm)
 	s.Lease.Margin = wharfsettings.Duration(leaseMargin)
 	s.Drain.Grace = wharfsettings.Duration(100 * time.Millisecond)
@@ -200,7 +209,9 @@
 	}
 	go func() {
 		defer close(n.done)
-		_ = daemon.Run(ctx)
+		if err := daemon.Run(ctx); err != nil && ctx.Err() == nil {
+			c.t.Errorf("%s ended: %v", s.Host, err)
+		}
 	}()
 	return n
 }
--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -48,8 +48,8 @@
 // ErrLeaving says that the daemon is on its way to a planned stop.
 var ErrLeaving = errors.New("host is leaving")
 
-// ErrNotReady says that the daemon holds no lease or has no configuration yet.
-var ErrNotReady = errors.New("host holds no lease or has no configuration")
+// ErrNotReady says that the daemon holds no lease, has no configuration or lacks quota shards that fall to it.
+var ErrNotReady = errors.New("host holds no lease, has no configuration or has not taken its quota shards")
 
 // Daemon is one entry daemon.
 type Daemon struct {
@@ -226,7 +226,7 @@
 		return ErrLeaving
 	default:
 	}
-	if !d.inForce() || d.rollout.Snapshot() == nil {
+	if !d.inForce() || d.rollout.Snapshot() == nil || !d.owner.Settled() {
 		return ErrNotReady
 	}
 	return nil
--- a/wharf/coordination/wharfquota/drawer.go
+++ b/wharf/coordination/wharfquota/drawer.go
@@ -20,11 +20,12 @@
 
 const (
 	drawTimeout    = NeedTerm
-	ownerBackoff   = 500 * time.Millisecond
+	ownerBackoff   = 100 * time.Millisecond
 	directoryAge   = 20 * time.Second
 	directoryRetry = time.Second
 	demandWindow   = 100 * time.Millisecond
 	largestDraw    = 64
+	ownerTries     = 8
 	rankedOwners   = 2
 	firstRefusal   = 5 * time.Millisecond   // for which refusals are answered without asking the owner again
 	longestRefusal = 200 * time.Millisecond // the same, after many refusals in a row
@@ -97,7 +98,22 @@
 	if p.grant.Spend(time.Now()) {
 		return 0, nil
 	}
-	return d.refill(ctx, p, organisation)
+	return d.refillSoon(ctx, p, organisation)
+}
+
+// refillSoon tries a few times while no owner is found, since shards that move are without one for a moment.
+func (d *Drawer) refillSoon(ctx context.Context, p *purse, organisation *wharfsnapshot.Organisation) (time.Duration, error) {
+	for try := 1; ; try++ {
+		wait, err := d.refill(ctx, p, organisation)
+		if try == ownerTries || !errors.Is(err, ErrNoOwner) {
+			return wait, err
+		}
+		select {
+		case <-time.After(ownerBackoff):
+		case <-ctx.Done():
+			return wait, err
+		}
+	}
 }
 
 func (d *Drawer) purse(organisation string) *purse {
--- a/wharf/coordination/wharfquota/owner.go
+++ b/wharf/coordination/wharfquota/owner.go
@@ -38,8 +38,9 @@
 	loanTries   = 4                     // draws from a bucket while it fills by a token
 	aheadPart   = 4                     // part of a bucket that one host may draw ahead
 
-	ownPeriod = 500 * time.Millisecond
-	ownLimit  = 3 * time.Second
+	ownPeriod  = 100 * time.Millisecond
+	scanPeriod = 250 * time.Millisecond // between two readings of the rows while shards are missing
+	ownLimit   = 3 * time.Second
 )
 
 // Owner owns quota shards of its zone under the host lease, and grants tokens from their buckets.
@@ -50,12 +51,15 @@
 	loop    *wharfcontrol.Loop
 	config  func() *wharfsnapshot.Snapshot
 	stopped atomic.Bool
+	settled atomic.Bool
 	restMu  sync.Mutex
 	rests   map[loanKey]time.Time
 	// Lender draws from another zone's owner; without one the zone keeps to its own share.
-	Lender func(ctx context.Context, zone string, request DrawRequest) (DrawReply, error)
-	epoch  uint64         // owned by the control goroutine
-	shards map[int]*shard // owned by the control goroutine
+	Lender  func(ctx context.Context, zone string, request DrawRequest) (DrawReply, error)
+	epoch   uint64         // owned by the control goroutine
+	shards  map[int]*shard // owned by the control goroutine
+	pending map[int]Shard  // released, but not committed so yet; owned by the control goroutine
+	scan    time.Time      // before which the rows are not read again
 }
 
 type loanKey struct {
@@ -76,7 +80,7 @@
 
 // NewOwner returns an owner that takes shards when Serve runs.
 func NewOwner(zone string, storage wharfstorage.Storage, member *wharfmember.Member, loop *wharfcontrol.Loop, config func() *wharfsnapshot.Snapshot) *Owner {
-	return &Owner{zone: zone, storage: storage, member: member, loop: loop, config: config, shards: map[int]*shard{}, rests: map[loanKey]time.Time{}}
+	return &Owner{zone: zone, storage: storage, member: member, loop: loop, config: config, shards: map[int]*shard{}, pending: map[int]Shard{}, rests: map[loanKey]time.Time{}}
 }
 
 // ShardOf returns the quota shard of an organisation.
@@ -114,11 +118,21 @@
 	for _, number := range surplus {
 		o.release(ctx, number)
 	}
-	if len(missing) > 0 {
+	if len(missing) == 0 {
+		o.settled.Store(true)
+		return
+	}
+	if time.Now().After(o.scan) {
+		o.scan = time.Now().Add(scanPeriod)
 		o.takeAll(ctx, view, missing)
 	}
 }
 
+// Settled reports whether this incarnation has owned every quota shard that fell to it.
+func (o *Owner) Settled() bool {
+	return o.settled.Load()
+}
+
 // compare drops what an earlier incarnation owned and returns the shards to take and to release.
 func (o *Owner) compare(ctx context.Context, view *wharfmember.View) (missing, surplus []int) {
 	hosts := view.LiveHosts()
@@ -126,14 +140,17 @@
 		if o.epoch != view.Self.Epoch {
 			o.epoch = view.Self.Epoch
 			clear(o.shards)
+			clear(o.pending)
+			o.settled.Store(false)
 		}
 		for number := range ShardCount {
 			wanted := wharfrank.First(ShardKey(o.zone, number), hosts) == view.Self.Host
 			_, owned := o.shards[number]
+			_, pending := o.pending[number]
 			switch {
 			case wanted && !owned:
 				missing = append(missing, number)
-			case owned && !wanted:
+			case !wanted && (owned || pending):
 				surplus = append(surplus, number)
 			}
 		}
@@ -179,6 +196,7 @@
 		if o.epoch != self.Epoch {
 			return
 		}
+		delete(o.pending, number)
 		o.shards[number] = &shard{
 			taken:     time.Now(),
 			inherited: row.Version != 0 && !last.Untouched,
@@ -202,27 +220,37 @@
 	}
 }
 
-// release stops granting first and commits the levels afterwards; a lost commit leaves the shard to a reclaim.
+// release stops granting first and commits the levels afterwards; what could not be committed is tried again.
 func (o *Owner) release(ctx context.Context, number int) {
 	var released Shard
+	found := false
 	epoch := uint64(0)
 	_ = o.loop.Do(ctx, func() {
 		if s := o.shards[number]; s != nil {
-			released = s.release(time.Now())
-			epoch = o.epoch
+			o.pending[number] = s.release(time.Now())
+			delete(o.shards, number)
 		}
-		delete(o.shards, number)
+		released, found = o.pending[number]
+		epoch = o.epoch
 	})
-	if epoch == 0 {
+	if !found || !o.commitRelease(ctx, number, epoch, released) {
 		return
 	}
+	_ = o.loop.Do(ctx, func() { delete(o.pending, number) })
+}
+
+// commitRelease reports whether the row names this incarnation no more.
+func (o *Owner) commitRelease(ctx context.Context, number int, epoch uint64, released Shard) bool {
 	key := ShardKey(o.zone, number)
 	current, version, err := wharfstorage.Read[Shard](ctx, o.storage, key)
-	if err != nil || current.Epoch != epoch || current.Host != o.member.Host() {
-		return
+	if err != nil {
+		return false
+	}
+	if current.Epoch != epoch || current.Host != o.member.Host() {
+		return true
 	}
 	conditions := []wharfrow.Condition{wharfstorage.At(key, version)}
-	_ = wharfstorage.Commit(ctx, o.storage, conditions, wharfstorage.Put(key, released))
+	return wharfstorage.Commit(ctx, o.storage, conditions, wharfstorage.Put(key, released)) == nil
 }
 
 func (s *shard) release(now time.Time) Shard {
