--- a/wharf-standin/wharfmodel/answer.go
+++ b/wharf-standin/wharfmodel/answer.go
@@ -37,11 +37,13 @@
 	if e.control.Cross > 0 {
 		e.control.Cross--
 		a.id += "-crossed"
+		a.text = wharftokens.For(a.id)
 	}
 	a.bodyID = a.id
 	if e.control.CrossBody > 0 {
 		e.control.CrossBody--
 		a.bodyID += "-crossed"
+		a.text = wharftokens.For(a.bodyID)
 	}
 	if e.control.End > 0 {
 		e.control.End--
