--- a/wharf-load/main.go
+++ b/wharf-load/main.go
@@ -48,6 +48,7 @@
 			{Name: "plot", Usage: "draw the results of measure", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "results", Value: "docs/measurements.json", Usage: "`FILE` that measure has written"},
 				&cli.StringFlag{Name: "dir", Value: "docs/plots", Usage: "`FOLDER` for the plots"},
+				&cli.StringFlag{Name: "page", Usage: "`FILE` for the page, written anew from the results"},
 			}, Action: plots},
 			{Name: "slopes", Usage: "measure how a daemon's control cost grows", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "dimension", Usage: "measure only `NAME`"},
@@ -155,5 +156,10 @@
 	if err != nil {
 		return err
 	}
+	if page := c.String("page"); page != "" {
+		if err := report.WritePage(page); err != nil {
+			return err
+		}
+	}
 	return report.WritePlots(c.String("dir"))
 }
