--- a/wagtailwharfd/wharfdaemon/answers_test.go
+++ b/wagtailwharfd/wharfdaemon/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -136,6 +137,17 @@
 	assert.Assert(t, strings.Contains(string(answer[:n]), " 408 "), string(answer[:n]))
 }
 
+func TestSlowHeaderIsGivenUp(t *testing.T) {
+	c := newCluster(t, oneHost)
+	conn := dial(t, c.nodes[0].settings.Callers.String())
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err := fmt.Fprint(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Slow: ")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(conn)
+	assert.NilError(t, err, "the host closes the connection by itself")
+	assert.Equal(t, c.nodes[0].chat(keyOf("alpha"), "hello", 2, false).status, http.StatusOK)
+}
+
 func TestBadRequests(t *testing.T) {
 	s := oneHost
 	s.settings = func(s *wharfsettings.Settings) { s.Limits.MaxBodyBytes = 1000 }
