Let one piece of code read strict TOML, wait, and find a model

Read over the whole change: settings and bundles each decoded TOML strictly and looked for the line of an unknown key; four packages each waited for a time or a context's end; two handlers each asked whether a service is a model. Behaviour, messages and tests stay as they are.

--- a/wagtailwharfd/wharfdaemon/leave.go
+++ b/wagtailwharfd/wharfdaemon/leave.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"k8s.io/klog/v2"
+	"wagtailwharf.example/wharf/state/wharfpause"
 )
 
 // leave brings a planned stop about: no new work, then the end of what runs, then the hand-over.
@@ -17,7 +18,7 @@
 	limit, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Limit))
 	defer cancel()
 	batch.Go(func() { d.runner.Drain(limit) })
-	pause(ctx, time.Duration(d.settings.Drain.Grace))
+	wharfpause.For(ctx, time.Duration(d.settings.Drain.Grace))
 	if err := d.callers.Shutdown(limit); err != nil {
 		klog.ErrorS(err, "requests were cut off at the drain limit")
 	}
@@ -30,12 +31,3 @@
 	}
 	klog.InfoS("left", "host", d.settings.Host)
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/wharf-load/wharfexperiment/run.go
+++ b/wharf-load/wharfexperiment/run.go
@@ -18,6 +18,7 @@
 	"wagtailwharf.example/wharf-load/wharfstack"
 	"wagtailwharf.example/wharf-standin/wharfmodel"
 	"wagtailwharf.example/wharf-standin/wharfplatform"
+	"wagtailwharf.example/wharf/state/wharfpause"
 )
 
 const (
@@ -75,7 +76,7 @@
 	for i := range e.Faults {
 		work.Go(func() { r.fault(ctx, &e.Faults[i]) })
 	}
-	sleep(ctx, time.Duration(e.WarmUp))
+	wharfpause.For(ctx, time.Duration(e.WarmUp))
 	before := r.snapshot()
 	<-ctx.Done()
 	after := r.snapshot()
@@ -96,16 +97,7 @@
 		if len(ready) > 0 {
 			r.ready.Store(&ready)
 		}
-		sleep(ctx, balancerPeriod)
-	}
-}
-
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wharfpause.For(ctx, balancerPeriod)
 	}
 }
 
@@ -131,14 +123,14 @@
 func (r *run) send(ctx context.Context, o *Online, number uint64) {
 	random := rand.New(rand.NewPCG(r.experiment.Seed, number))
 	start := r.result.started
-	sleep(ctx, time.Duration(o.From))
+	wharfpause.For(ctx, time.Duration(o.From))
 	bucket := &exactBucket{rate: o.Rate, burst: o.Burst, level: o.Burst, updated: time.Now()}
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	next := time.Now()
 	for i := 0; ctx.Err() == nil; i++ {
 		next = next.Add(time.Duration(random.ExpFloat64() / o.Sent * float64(time.Second)))
-		sleep(ctx, time.Until(next))
+		wharfpause.For(ctx, time.Until(next))
 		now := time.Since(start)
 		if ctx.Err() != nil || (o.Until > 0 && now > time.Duration(o.Until)) {
 			return
@@ -224,7 +216,7 @@
 
 // fault makes something go wrong, and right again if it has an end.
 func (r *run) fault(ctx context.Context, f *Fault) {
-	sleep(ctx, time.Duration(f.At))
+	wharfpause.For(ctx, time.Duration(f.At))
 	if ctx.Err() != nil {
 		return
 	}
@@ -255,7 +247,7 @@
 	if f.Until == 0 {
 		return
 	}
-	sleep(ctx, time.Duration(f.Until-f.At))
+	wharfpause.For(ctx, time.Duration(f.Until-f.At))
 	mend()
 }
 
@@ -276,7 +268,7 @@
 	for i := 0; ctx.Err() == nil && time.Since(r.result.started) < time.Duration(f.Until); i++ {
 		hosts := *r.ready.Load()
 		_, _ = r.caller(organisation, hosts[i%len(hosts)]).Chat(ctx, r.experiment.Deployment.Service, wharfmodel.CrashPrompt, 1, true)
-		sleep(ctx, poisonPeriod)
+		wharfpause.For(ctx, poisonPeriod)
 	}
 }
 
--- a/wharf-load/wharfstack/stack.go
+++ b/wharf-load/wharfstack/stack.go
@@ -387,16 +387,6 @@
 	return p.command.Process.Signal(signal)
 }
 
-// Wait waits until a process has ended.
-func (s *Stack) Wait(ctx context.Context, p *Process) error {
-	select {
-	case <-p.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Restart starts a process again that has ended.
 func (s *Stack) Restart(p *Process) error {
 	return s.run(p)
--- a/wharf/coordination/wharfmember/join.go
+++ b/wharf/coordination/wharfmember/join.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"wagtailwharf.example/wharf/coordination/wharflease"
+	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfzone"
 )
 
@@ -33,7 +34,7 @@
 			return
 		}
 		klog.V(1).InfoS("join failed", "availability-zone", m.options.Zone, "error", err.Error())
-		pause(ctx, backoff/2+rand.N(backoff))
+		wharfpause.For(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, largestBackoff)
 	}
 }
@@ -90,7 +91,7 @@
 		if err == nil || ctx.Err() != nil {
 			return trace.Wrap(err)
 		}
-		pause(ctx, backoff)
+		wharfpause.For(ctx, backoff)
 		backoff = min(2*backoff, largestBackoff)
 	}
 }
--- a/wharf/coordination/wharfmember/member.go
+++ b/wharf/coordination/wharfmember/member.go
@@ -128,15 +128,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (m *Member) read(ctx context.Context) (zone wharfzone.Zone, version uint64, err error) {
 	return wharfstorage.Read[wharfzone.Zone](ctx, m.options.Storage, wharfzone.Key(m.options.Zone))
 }
--- a/wharf/protocol/wharfsettings/settings.go
+++ b/wharf/protocol/wharfsettings/settings.go
@@ -1,7 +1,6 @@
 package wharfsettings
 
 import (
-	"bytes"
 	"crypto/ed25519"
 	"encoding/base64"
 	"errors"
@@ -13,8 +12,8 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"github.com/gravitational/trace"
+	"wagtailwharf.example/wharf/state/wharftoml"
 )
 
 // ErrInvalid says that a settings file breaks a rule.
@@ -169,26 +168,12 @@
 // Parse reads settings; unknown keys are errors that name their line.
 func Parse(text []byte) (Settings, error) {
 	settings := Default()
-	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&settings)
-	if err != nil {
-		return settings, trace.Wrap(fmt.Errorf("%w: %v", ErrInvalid, err))
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return settings, trace.Wrap(fmt.Errorf("%w: unknown key %q on line %d", ErrInvalid, unknown[0].String(), lineOf(text, unknown[0])))
+	if err := wharftoml.Decode(text, &settings, ErrInvalid); err != nil {
+		return settings, trace.Wrap(err)
 	}
 	return settings, trace.Wrap(settings.Validate())
 }
 
-func lineOf(text []byte, key toml.Key) int {
-	name := key[len(key)-1]
-	for i, line := range strings.Split(string(text), "\n") {
-		if strings.HasPrefix(strings.TrimLeft(line, " \t["), name) {
-			return i + 1
-		}
-	}
-	return 0
-}
-
 // Validate returns all broken rules at once, joined under ErrInvalid.
 func (s *Settings) Validate() error {
 	var problems []error
--- a/wharf/state/wharfconfig/bundle.go
+++ b/wharf/state/wharfconfig/bundle.go
@@ -1,7 +1,6 @@
 package wharfconfig
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -9,8 +8,8 @@
 	"net/url"
 	"strings"
 
-	"github.com/BurntSushi/toml"
 	"github.com/gravitational/trace"
+	"wagtailwharf.example/wharf/state/wharftoml"
 )
 
 // ErrInvalid says that a bundle breaks a rule of the configuration.
@@ -82,12 +81,8 @@
 // Parse reads and validates a TOML bundle; unknown keys are errors that name their line.
 func Parse(text []byte) (*Bundle, error) {
 	var bundle Bundle
-	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&bundle)
-	if err != nil {
-		return nil, trace.Wrap(fmt.Errorf("%w: %v", ErrInvalid, err))
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, trace.Wrap(fmt.Errorf("%w: unknown key %q on line %d", ErrInvalid, unknown[0].String(), lineOf(text, unknown[0])))
+	if err := wharftoml.Decode(text, &bundle, ErrInvalid); err != nil {
+		return nil, trace.Wrap(err)
 	}
 	if err := bundle.Validate(); err != nil {
 		return nil, trace.Wrap(err)
@@ -95,16 +90,6 @@
 	return &bundle, nil
 }
 
-func lineOf(text []byte, key toml.Key) int {
-	name := key[len(key)-1]
-	for i, line := range strings.Split(string(text), "\n") {
-		if strings.HasPrefix(strings.TrimLeft(line, " \t["), name) {
-			return i + 1
-		}
-	}
-	return 0
-}
-
 // Hash returns the hexadecimal SHA-256 of a bundle's text.
 func Hash(text []byte) string {
 	sum := sha256.Sum256(text)
--- a/wharf/state/wharfsnapshot/snapshot.go
+++ b/wharf/state/wharfsnapshot/snapshot.go
@@ -78,6 +78,15 @@
 	return s.granted[id]
 }
 
+// Model returns the model service of a name, or nil.
+func (s *Snapshot) Model(name string) *Service {
+	service := s.Services[name]
+	if service == nil || service.Kind != wharfconfig.KindModel {
+		return nil
+	}
+	return service
+}
+
 // Route returns the longest route of the service that is a prefix of path, or nil.
 func (s *Service) Route(path string) *wharfconfig.Route {
 	var best *wharfconfig.Route
--- /dev/null
+++ b/wharf/state/wharftoml/doc.go
@@ -0,0 +1,2 @@
+// Package wharftoml reads TOML files in which every key must be known.
+package wharftoml
--- a/wharf/transport/wharfentry/batches.go
+++ b/wharf/transport/wharfentry/batches.go
@@ -14,7 +14,6 @@
 	"wagtailwharf.example/wharf/coordination/wharfjobs"
 	"wagtailwharf.example/wharf/protocol/wharfapi"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
-	"wagtailwharf.example/wharf/state/wharfconfig"
 	"wagtailwharf.example/wharf/state/wharfjob"
 )
 
@@ -219,10 +218,7 @@
 		Window:         request.Window,
 		Metadata:       request.Metadata,
 		IdempotencyKey: r.Header.Get(idempotencyHeader),
-		Serves: func(service string) bool {
-			known := r.snapshot.Services[service]
-			return known != nil && known.Kind == wharfconfig.KindModel
-		},
+		Serves:         func(service string) bool { return r.snapshot.Model(service) != nil },
 	})
 	if err != nil {
 		return err
--- a/wharf/transport/wharfentry/generate.go
+++ b/wharf/transport/wharfentry/generate.go
@@ -12,7 +12,6 @@
 	"wagtailwharf.example/wharf/protocol/wharfapi"
 	"wagtailwharf.example/wharf/protocol/wharfevents"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
-	"wagtailwharf.example/wharf/state/wharfconfig"
 	"wagtailwharf.example/wharf/state/wharfpick"
 	"wagtailwharf.example/wharf/state/wharfpoison"
 	"wagtailwharf.example/wharf/transport/wharfengine"
@@ -43,8 +42,8 @@
 	if err != nil {
 		return err
 	}
-	service := r.snapshot.Services[parsed.Model]
-	if service == nil || service.Kind != wharfconfig.KindModel {
+	service := r.snapshot.Model(parsed.Model)
+	if service == nil {
 		return wharfrefusal.New(http.StatusNotFound, "model-not-found", fmt.Sprintf("there is no model %q; GET /v1/models lists them", parsed.Model))
 	}
 	g := &generation{
--- a/wharf/transport/wharfentry/server.go
+++ b/wharf/transport/wharfentry/server.go
@@ -17,6 +17,7 @@
 	"wagtailwharf.example/wharf/protocol/wharfapi"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
 	"wagtailwharf.example/wharf/state/wharfbudget"
+	"wagtailwharf.example/wharf/state/wharfconfig"
 	"wagtailwharf.example/wharf/state/wharfpoison"
 	"wagtailwharf.example/wharf/state/wharfsnapshot"
 	"wagtailwharf.example/wharf/transport/wharfengine"
@@ -193,7 +194,7 @@
 func (s *Server) models(w http.ResponseWriter, r *keyed) error {
 	list := modelList{Object: "list", Data: []model{}}
 	for _, service := range r.snapshot.Services {
-		if service.Kind == "model" {
+		if service.Kind == wharfconfig.KindModel {
 			list.Data = append(list.Data, model{ID: service.Name, Object: "model", OwnedBy: "wagtailwharf"})
 		}
 	}
--- a/wharf/transport/wharfstore/client.go
+++ b/wharf/transport/wharfstore/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfrow"
 )
 
@@ -92,7 +93,7 @@
 		case !uncertain:
 			return trace.Wrap(err)
 		}
-		if !sleep(ctx, backoff) {
+		if !wharfpause.For(ctx, backoff) {
 			return trace.Wrap(wharfrow.ErrUnknown)
 		}
 	}
@@ -121,7 +122,7 @@
 		if err == nil {
 			return row, nil
 		}
-		if !sleep(ctx, backoff) {
+		if !wharfpause.For(ctx, backoff) {
 			return row, trace.Wrap(wharfrow.ErrUnknown)
 		}
 	}
@@ -187,14 +188,3 @@
 	}
 	return fmt.Errorf("platform answered %d: %s", status, data)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
