--- /dev/null
+++ b/wagtailwharf/chat/chat.go
@@ -0,0 +1,106 @@
+// Package wharfchat asks a model.
+package wharfchat
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailwharf.example/wagtailwharf/wharfclient"
+	"wagtailwharf.example/wagtailwharf/wharfexit"
+	"wagtailwharf.example/wagtailwharf/wharffactory"
+	"wagtailwharf.example/wagtailwharf/wharfstreams"
+	"wagtailwharf.example/wharf/protocol/wharfapi"
+	"wagtailwharf.example/wharf/protocol/wharfevents"
+)
+
+// Options are what the command was asked for.
+type Options struct {
+	Streams *wharfstreams.Streams
+	Client  *wharfclient.Client
+	Model   string
+	Text    string
+	Tokens  int
+}
+
+// New returns the command.
+func New(f *wharffactory.Factory) *cli.Command {
+	return &cli.Command{
+		Name:      "chat",
+		Usage:     "ask a model and print its answer as it comes",
+		ArgsUsage: "TEXT",
+		UsageText: "wagtailwharf chat --model solver-assist How fine should the mesh be?",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "model", Usage: "`NAME` of the model", Required: true},
+			&cli.IntFlag{Name: "max-tokens", Value: 64, Usage: "answer with at most `COUNT` tokens"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := f.Callers(c)
+			if err != nil {
+				return err
+			}
+			return Run(ctx, &Options{Streams: f.Streams, Client: client, Model: c.String("model"), Text: strings.Join(c.Args().Slice(), " "), Tokens: c.Int("max-tokens")})
+		},
+	}
+}
+
+var errCutShort = errors.New("the answer was cut short")
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type question struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+}
+
+// Run prints the streamed answer.
+func Run(ctx context.Context, options *Options) error {
+	if options.Text == "" {
+		return wharfexit.UsageError("nothing is asked", "give the question after the flags")
+	}
+	body, err := json.Marshal(question{
+		Model: options.Model, Messages: []message{{Role: "user", Content: options.Text}}, Stream: true, MaxTokens: options.Tokens,
+	})
+	if err != nil {
+		return err
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	response, err := options.Client.Do(ctx, wharfclient.Call{Method: http.MethodPost, Path: "/v1/chat/completions", Header: header, Body: body})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return show(options.Streams.Out, response.Body)
+}
+
+func show(out io.Writer, stream io.Reader) error {
+	events := wharfevents.NewReader(stream)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			_, err := fmt.Fprintln(out)
+			return err
+		}
+		if err != nil {
+			return wharfexit.New(wharfexit.Unknown, errCutShort, "ask again")
+		}
+		chunk, err := wharfapi.ParseChunk(event)
+		if err != nil || chunk.Error != nil {
+			return wharfexit.New(wharfexit.Unknown, errCutShort, "ask again")
+		}
+		if _, err := fmt.Fprint(out, chunk.Text()); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/wagtailwharf/config/status/status.go
@@ -0,0 +1,56 @@
+// Package wharfstatus shows the version that each host has in force.
+package wharfstatus
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailwharf.example/wagtailwharf/wharfclient"
+	"wagtailwharf.example/wagtailwharf/wharffactory"
+	"wagtailwharf.example/wagtailwharf/wharfprinter"
+	"wagtailwharf.example/wagtailwharf/wharfstreams"
+)
+
+// Options are what the command was asked for.
+type Options struct {
+	Streams *wharfstreams.Streams
+	Client  *wharfclient.Client
+	JSON    bool
+}
+
+// New returns the command.
+func New(f *wharffactory.Factory) *cli.Command {
+	return &cli.Command{
+		Name:      "status",
+		Usage:     "show the version that each host has in force",
+		UsageText: "wagtailwharf config status",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := f.Operators(c)
+			if err != nil {
+				return err
+			}
+			return Run(ctx, &Options{Streams: f.Streams, Client: client, JSON: c.Bool("json")})
+		},
+	}
+}
+
+// Run prints the versions by host; 0 stands for a host that did not answer.
+func Run(ctx context.Context, options *Options) error {
+	var versions map[string]uint64
+	if err := options.Client.JSON(ctx, http.MethodGet, "/v1/config/status", nil, nil, &versions); err != nil {
+		return err
+	}
+	if options.JSON {
+		return wharfprinter.JSON(options.Streams, versions)
+	}
+	var rows [][]string
+	for _, host := range slices.Sorted(maps.Keys(versions)) {
+		rows = append(rows, []string{host, fmt.Sprint(versions[host])})
+	}
+	return wharfprinter.Table(options.Streams, []string{"host", "version"}, rows)
+}
--- /dev/null
+++ b/wagtailwharf/host/drain/drain.go
@@ -0,0 +1,45 @@
+// Package wharfdrain asks a host for a planned stop.
+package wharfdrain
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailwharf.example/wagtailwharf/wharfclient"
+	"wagtailwharf.example/wagtailwharf/wharffactory"
+	"wagtailwharf.example/wagtailwharf/wharfstreams"
+)
+
+// Options are what the command was asked for.
+type Options struct {
+	Streams *wharfstreams.Streams
+	Client  *wharfclient.Client
+}
+
+// New returns the command.
+func New(f *wharffactory.Factory) *cli.Command {
+	return &cli.Command{
+		Name:      "drain",
+		Usage:     "ask the host at --operators for a planned stop",
+		UsageText: "wagtailwharf --operators http://10.0.3.7:7002 host drain",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := f.Operators(c)
+			if err != nil {
+				return err
+			}
+			return Run(ctx, &Options{Streams: f.Streams, Client: client})
+		},
+	}
+}
+
+// Run returns once the host has begun to leave.
+func Run(ctx context.Context, options *Options) error {
+	if err := options.Client.JSON(ctx, http.MethodPost, "/v1/hosts/drain", nil, struct{}{}, nil); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(options.Streams.Out, "the host takes no new work and ends when what runs has ended")
+	return err
+}
--- /dev/null
+++ b/wagtailwharf/job/cancel/cancel.go
@@ -0,0 +1,48 @@
+// Package wharfcancel cancels a batch job.
+package wharfcancel
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailwharf.example/wagtailwharf/job/wharfbatches"
+	"wagtailwharf.example/wagtailwharf/wharfclient"
+	"wagtailwharf.example/wagtailwharf/wharffactory"
+	"wagtailwharf.example/wagtailwharf/wharfstreams"
+)
+
+// Options are what the command was asked for.
+type Options struct {
+	Streams *wharfstreams.Streams
+	Client  *wharfclient.Client
+	ID      string
+	JSON    bool
+}
+
+// New returns the command.
+func New(f *wharffactory.Factory) *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "cancel a batch job",
+		ArgsUsage: "JOB",
+		UsageText: "wagtailwharf job cancel JOB",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := f.Callers(c)
+			if err != nil {
+				return err
+			}
+			return Run(ctx, &Options{Streams: f.Streams, Client: client, ID: c.Args().First(), JSON: c.Bool("json")})
+		},
+	}
+}
+
+// Run cancels the job; no further item of it completes afterwards.
+func Run(ctx context.Context, options *Options) error {
+	var batch wharfbatches.Batch
+	if err := options.Client.JSON(ctx, http.MethodPost, "/v1/batches/"+options.ID+"/cancel", nil, struct{}{}, &batch); err != nil {
+		return err
+	}
+	return wharfbatches.Print(options.Streams, options.JSON, batch)
+}
--- /dev/null
+++ b/wagtailwharf/job/submit/submit.go
@@ -0,0 +1,122 @@
+// Package wharfsubmit submits a batch job.
+package wharfsubmit
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailwharf.example/wagtailwharf/job/wharfbatches"
+	"wagtailwharf.example/wagtailwharf/wharfclient"
+	"wagtailwharf.example/wagtailwharf/wharfexit"
+	"wagtailwharf.example/wagtailwharf/wharffactory"
+	"wagtailwharf.example/wagtailwharf/wharfstreams"
+)
+
+// Options are what the command was asked for.
+type Options struct {
+	Streams        *wharfstreams.Streams
+	Client         *wharfclient.Client
+	File           string
+	Endpoint       string
+	Window         string
+	IdempotencyKey string
+	JSON           bool
+}
+
+// New returns the command.
+func New(f *wharffactory.Factory) *cli.Command {
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     "submit a JSONL file as a batch job",
+		ArgsUsage: "FILE",
+		UsageText: "wagtailwharf job submit cases.jsonl --window 8h --idempotency-key night-2026-12-04",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "endpoint", Value: "/v1/chat/completions", Usage: "`PATH` that the lines ask for"},
+			&cli.StringFlag{Name: "window", Value: "24h", Usage: "`DURATION` until the job is due"},
+			&cli.StringFlag{Name: "idempotency-key", Usage: "`KEY` under which a resent submission is the same job"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := f.Callers(c)
+			if err != nil {
+				return err
+			}
+			return Run(ctx, &Options{
+				Streams: f.Streams, Client: client, File: c.Args().First(), Endpoint: c.String("endpoint"),
+				Window: c.String("window"), IdempotencyKey: c.String("idempotency-key"), JSON: c.Bool("json"),
+			})
+		},
+	}
+}
+
+// Run uploads the file and submits the job.
+func Run(ctx context.Context, options *Options) error {
+	data, err := os.ReadFile(options.File)
+	if err != nil {
+		return wharfexit.New(wharfexit.Usage, err, "name a file with one JSON item a line")
+	}
+	fileID, err := upload(ctx, options, data)
+	if err != nil {
+		return err
+	}
+	request := map[string]string{"input_file_id": fileID, "endpoint": options.Endpoint, "completion_window": options.Window}
+	var batch wharfbatches.Batch
+	if err := options.Client.JSON(ctx, http.MethodPost, "/v1/batches", idempotency(options), request, &batch); err != nil {
+		return err
+	}
+	if !options.JSON && !options.Streams.Terminal {
+		_, err := fmt.Fprintln(options.Streams.Out, batch.ID)
+		return err
+	}
+	return wharfbatches.Print(options.Streams, options.JSON, batch)
+}
+
+func idempotency(options *Options) http.Header {
+	header := http.Header{}
+	if options.IdempotencyKey != "" {
+		header.Set("Idempotency-Key", options.IdempotencyKey)
+	}
+	return header
+}
+
+func upload(ctx context.Context, options *Options, data []byte) (string, error) {
+	var form bytes.Buffer
+	writer := multipart.NewWriter(&form)
+	if err := writer.WriteField("purpose", "batch"); err != nil {
+		return "", err
+	}
+	part, err := writer.CreateFormFile("file", filepath.Base(options.File))
+	if err != nil {
+		return "", err
+	}
+	if _, err := io.Copy(part, bytes.NewReader(data)); err != nil {
+		return "", err
+	}
+	if err := writer.Close(); err != nil {
+		return "", err
+	}
+	header := idempotency(options)
+	header.Set("Content-Type", writer.FormDataContentType())
+	return send(ctx, options.Client, wharfclient.Call{Method: http.MethodPost, Path: "/v1/files", Header: header, Body: form.Bytes()})
+}
+
+func send(ctx context.Context, client *wharfclient.Client, call wharfclient.Call) (string, error) {
+	response, err := client.Do(ctx, call)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var file struct {
+		ID string `json:"id"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&file)
+	return file.ID, err
+}
--- /dev/null
+++ b/wagtailwharf/root/root.go
@@ -0,0 +1,89 @@
+// Package wharfroot puts the nouns and verbs of the command line together.
+package wharfroot
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	wharfchat "wagtailwharf.example/wagtailwharf/chat"
+	wharfapply "wagtailwharf.example/wagtailwharf/config/apply"
+	wharfdiff "wagtailwharf.example/wagtailwharf/config/diff"
+	wharfexport "wagtailwharf.example/wagtailwharf/config/export"
+	wharfhistory "wagtailwharf.example/wagtailwharf/config/history"
+	wharfimport "wagtailwharf.example/wagtailwharf/config/import"
+	wharfsign "wagtailwharf.example/wagtailwharf/config/sign"
+	wharfstatus "wagtailwharf.example/wagtailwharf/config/status"
+	wharfvalidate "wagtailwharf.example/wagtailwharf/config/validate"
+	wharfendpoints "wagtailwharf.example/wagtailwharf/endpoint/list"
+	wharforder "wagtailwharf.example/wagtailwharf/endpoint/order"
+	wharfdrain "wagtailwharf.example/wagtailwharf/host/drain"
+	wharflatency "wagtailwharf.example/wagtailwharf/host/latency"
+	wharfhosts "wagtailwharf.example/wagtailwharf/host/list"
+	wharfremove "wagtailwharf.example/wagtailwharf/host/remove"
+	wharfcancel "wagtailwharf.example/wagtailwharf/job/cancel"
+	wharfjobs "wagtailwharf.example/wagtailwharf/job/list"
+	wharfresults "wagtailwharf.example/wagtailwharf/job/results"
+	wharfjobstatus "wagtailwharf.example/wagtailwharf/job/status"
+	wharfsubmit "wagtailwharf.example/wagtailwharf/job/submit"
+	wharfwatch "wagtailwharf.example/wagtailwharf/job/watch"
+	wharfcreate "wagtailwharf.example/wagtailwharf/key/create"
+	wharfkeys "wagtailwharf.example/wagtailwharf/key/list"
+	wharfwithdraw "wagtailwharf.example/wagtailwharf/key/withdraw"
+	wharforgs "wagtailwharf.example/wagtailwharf/org/list"
+	wharfsigner "wagtailwharf.example/wagtailwharf/signer/create"
+	"wagtailwharf.example/wagtailwharf/wharfexit"
+	"wagtailwharf.example/wagtailwharf/wharffactory"
+)
+
+// Version is the version of the command line.
+const Version = "0.1.0"
+
+// New returns the root command.
+func New(f *wharffactory.Factory) *cli.Command {
+	return &cli.Command{
+		Name:                  "wagtailwharf",
+		Usage:                 "run and call a wagtailwharf deployment",
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+		},
+		Writer:         f.Streams.Out,
+		ErrWriter:      f.Streams.Err,
+		Flags:          wharffactory.Flags(),
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return wharfexit.New(wharfexit.Usage, err, "see: wagtailwharf --help")
+		},
+		Commands: []*cli.Command{
+			noun("config", "the configuration bundle", wharfvalidate.New(f), wharfdiff.New(f), wharfsign.New(f), wharfapply.New(f),
+				wharfstatus.New(f), wharfhistory.New(f), wharfexport.New(f), wharfimport.New(f)),
+			noun("signer", "those who sign configurations off", wharfsigner.New(f)),
+			noun("org", "organisations", wharforgs.New(f)),
+			noun("key", "callers' keys", wharfcreate.New(f), wharfwithdraw.New(f), wharfkeys.New(f)),
+			noun("host", "entry hosts", wharfhosts.New(f), wharfdrain.New(f), wharfremove.New(f), wharflatency.New(f)),
+			noun("endpoint", "endpoints", wharfendpoints.New(f), wharforder.New(f)),
+			noun("job", "batch jobs", wharfsubmit.New(f), wharfjobs.New(f), wharfjobstatus.New(f), wharfresults.New(f),
+				wharfcancel.New(f), wharfwatch.New(f)),
+			wharfchat.New(f),
+			version(f),
+		},
+	}
+}
+
+func noun(name, usage string, verbs ...*cli.Command) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Commands: verbs}
+}
+
+func version(f *wharffactory.Factory) *cli.Command {
+	return &cli.Command{
+		Name:      "version",
+		Usage:     "print the version",
+		UsageText: "wagtailwharf version",
+		Action: func(context.Context, *cli.Command) error {
+			_, err := fmt.Fprintln(f.Streams.Out, "wagtailwharf", Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -0,0 +1,407 @@
+package wharfdaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/coordination/wharfbatch"
+	"wagtailwharf.example/wharf/coordination/wharfcontrol"
+	"wagtailwharf.example/wharf/coordination/wharfgate"
+	"wagtailwharf.example/wharf/coordination/wharfjobs"
+	"wagtailwharf.example/wharf/coordination/wharfmember"
+	"wagtailwharf.example/wharf/coordination/wharfonce"
+	"wagtailwharf.example/wharf/coordination/wharforder"
+	"wagtailwharf.example/wharf/coordination/wharfquota"
+	"wagtailwharf.example/wharf/coordination/wharfreport"
+	"wagtailwharf.example/wharf/coordination/wharfrollout"
+	"wagtailwharf.example/wharf/protocol/wharfpeer"
+	"wagtailwharf.example/wharf/protocol/wharfsettings"
+	"wagtailwharf.example/wharf/state/wharfbudget"
+	"wagtailwharf.example/wharf/state/wharfpick"
+	"wagtailwharf.example/wharf/state/wharfpoison"
+	"wagtailwharf.example/wharf/transport/wharfdial"
+	"wagtailwharf.example/wharf/transport/wharfengine"
+	"wagtailwharf.example/wharf/transport/wharfentry"
+	"wagtailwharf.example/wharf/transport/wharfitem"
+	"wagtailwharf.example/wharf/transport/wharfmetrics"
+	"wagtailwharf.example/wharf/transport/wharfoperator"
+	"wagtailwharf.example/wharf/transport/wharfstore"
+)
+
+const (
+	headerTime    = 5 * time.Second
+	headerBytes   = 32 << 10
+	callerIdle    = 2 * time.Minute
+	leaveLimit    = 10 * time.Second
+	stopLimit     = 5 * time.Second
+	operatorWrite = time.Minute
+)
+
+// ErrLeaving says that the daemon is on its way to a planned stop.
+var ErrLeaving = errors.New("host is leaving")
+
+// ErrNotReady says that the daemon holds no lease or has no configuration yet.
+var ErrNotReady = errors.New("host holds no lease or has no configuration")
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	settings  wharfsettings.Settings
+	store     *wharfstore.Client
+	pool      *wharfdial.Pool
+	peers     *wharfpeer.Peers
+	loop      *wharfcontrol.Loop
+	member    *wharfmember.Member
+	owner     *wharfquota.Owner
+	drawer    *wharfquota.Drawer
+	rollout   *wharfrollout.Rollout
+	picker    *wharfpick.Picker
+	runner    *wharfbatch.Runner
+	reporter  *wharfreport.Reporter
+	orders    *wharforder.Orders
+	client    *wharfengine.Client
+	ledger    *wharfpoison.Ledger
+	metrics   *wharfmetrics.Metrics
+	entry     *wharfentry.Server
+	operators *wharfoperator.Server
+	callers   *http.Server
+	drain     chan struct{}
+	drainOnce sync.Once
+	leaving   chan struct{}
+	leavers   atomic.Pointer[map[string]bool] // endpoints that the platform's list says are leaving
+	background
+}
+
+// Tokens are the deployment's secrets.
+type Tokens struct {
+	Peer     string
+	Operator string
+}
+
+// New returns a daemon that serves when Run runs. Wrap, if not nil, stands between the daemon and its peers.
+func New(settings wharfsettings.Settings, tokens Tokens, wrap func(wharfpeer.Caller) wharfpeer.Caller) (*Daemon, error) {
+	signers, err := settings.SignerKeys()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d := &Daemon{
+		settings: settings,
+		store:    wharfstore.New(settings.Platform, settings.Zone),
+		pool:     wharfdial.NewPool(tokens.Peer, settings.Peers.Addr()),
+		loop:     wharfcontrol.New(),
+		client:   wharfengine.New(),
+		ledger:   wharfpoison.New(),
+		metrics:  wharfmetrics.New(),
+		drain:    make(chan struct{}),
+		leaving:  make(chan struct{}),
+	}
+	var caller wharfpeer.Caller = d.pool
+	if wrap != nil {
+		caller = wrap(caller)
+	}
+	d.peers = wharfpeer.New(caller)
+	d.buildCoordination(wharfrollout.Options{
+		Zone:    settings.Zone,
+		Signers: signers,
+		Needed:  settings.Signing.Needed,
+		Storage: d.store,
+		Peers:   d.peers,
+		Loop:    d.loop,
+		Changed: d.configChanged,
+	})
+	d.buildServers(tokens)
+	return d, nil
+}
+
+func (d *Daemon) buildCoordination(rollout wharfrollout.Options) {
+	s := &d.settings
+	d.member = wharfmember.New(wharfmember.Options{
+		Host:    s.Host,
+		Zone:    s.Zone,
+		Peer:    s.Peers,
+		Caller:  s.Callers,
+		Term:    time.Duration(s.Lease.Term),
+		Margin:  time.Duration(s.Lease.Margin),
+		Storage: d.store,
+		Peers:   d.peers,
+		Loop:    d.loop,
+	})
+	rollout.Member = d.member
+	d.rollout = wharfrollout.New(rollout)
+	d.owner = wharfquota.NewOwner(s.Zone, d.store, d.member, d.loop, d.rollout.Snapshot)
+	d.drawer = wharfquota.NewDrawer(s.Zone, s.Peers, d.store, d.owner, d.peers)
+	d.picker = wharfpick.New(s.Zone, func(e *wharfpick.Endpoint) { d.reporter.Changed(e) })
+	d.runner = wharfbatch.New(wharfbatch.Options{
+		Zone:     s.Zone,
+		Storage:  d.store,
+		Member:   d.member,
+		Config:   d.rollout.Snapshot,
+		Executor: wharfitem.New(d.client, d.ledger, d.strike, d.metrics),
+		Headroom: s.Batch.Headroom,
+	})
+	d.reporter = wharfreport.New(d.member, d.runner, d.peers, func() *wharfpick.Picker { return d.picker })
+	d.orders = wharforder.New(s.Zone, d.member, d.rollout.Snapshot, d.client)
+}
+
+func (d *Daemon) buildServers(tokens Tokens) {
+	limits := &d.settings.Limits
+	d.entry = wharfentry.New(wharfentry.Options{
+		Snapshot: d.rollout.Snapshot,
+		InForce:  d.inForce,
+		Drawer:   d.drawer,
+		Gate:     wharfgate.New(d.picker),
+		Picker:   d.picker,
+		Client:   d.client,
+		Jobs:     wharfjobs.New(d.store),
+		Once:     wharfonce.New(d.store),
+		Ledger:   d.ledger,
+		Strike:   d.strike,
+		StopJob:  d.stopJob,
+		Budget:   wharfbudget.New(limits.RetryShare),
+		Metrics:  d.metrics,
+		Limits: wharfentry.Limits{
+			MaxBody:   limits.MaxBodyBytes,
+			MaxUpload: limits.MaxUploadBytes,
+			Patience:  time.Duration(limits.Patience),
+			FirstByte: time.Duration(limits.FirstByte),
+			Idle:      time.Duration(limits.Idle),
+			BodyTime:  time.Duration(limits.BodyTime),
+			Attempts:  limits.Attempts,
+		},
+	})
+	d.operators = wharfoperator.New(wharfoperator.Options{
+		Token:   tokens.Operator,
+		Ready:   d.Ready,
+		Drain:   d.Drain,
+		Storage: d.store,
+		Member:  d.member,
+		Rollout: d.rollout,
+		Picker:  d.picker,
+		Metrics: d.metrics,
+		Vars:    d.vars,
+	})
+	d.callers = &http.Server{Handler: d.entry, ReadHeaderTimeout: headerTime, MaxHeaderBytes: headerBytes, IdleTimeout: callerIdle}
+}
+
+// inForce reports whether keyed work may be served: the lease holds, and the configuration was read after joining.
+func (d *Daemon) inForce() bool {
+	return d.member.InForce() && d.rollout.CaughtUp()
+}
+
+// Ready returns nil if the balancer may send requests here.
+func (d *Daemon) Ready() error {
+	select {
+	case <-d.leaving:
+		return ErrLeaving
+	default:
+	}
+	if !d.inForce() || d.rollout.Snapshot() == nil {
+		return ErrNotReady
+	}
+	return nil
+}
+
+// Drain asks for a planned stop; it does not wait for it.
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() { close(d.drain) })
+}
+
+// Run serves until ctx ends, which cuts work off, or until Drain has brought a planned stop about.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.start(ctx)
+	defer d.wait()
+	server, err := wharfpeer.NewServer(ctx, wharfpeer.Handlers{
+		Member:   d.member,
+		Owner:    d.owner,
+		Rollout:  d.rollout,
+		Reporter: d.reporter,
+		Runner:   d.runner,
+		Ledger:   d.ledger,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	tree := d.tree(listeners, server)
+	finished := tree.ServeBackground(ctx)
+	defer d.closeAll()
+	select {
+	case err := <-finished:
+		return trace.Wrap(err)
+	case <-d.drain:
+		d.leave(ctx)
+		cancel()
+		<-finished
+		return nil
+	}
+}
+
+func (d *Daemon) closeAll() {
+	d.pool.Close()
+	d.client.Close()
+	d.store.Close()
+}
+
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+func (d *Daemon) listen() (*listeners, error) {
+	var opened listeners
+	for _, wanted := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{d.settings.Callers.String(), &opened.callers},
+		{d.settings.Peers.String(), &opened.peers},
+		{d.settings.Operators.String(), &opened.operators},
+	} {
+		listener, err := net.Listen("tcp", wanted.address)
+		if err != nil {
+			opened.close()
+			return nil, trace.Wrap(err)
+		}
+		*wanted.to = listener
+	}
+	return &opened, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.operators} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+type service struct {
+	name  string
+	serve func(context.Context) error
+}
+
+func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
+func (s service) String() string                  { return s.name }
+
+// tree supervises control and traffic apart; a panic ends the process, since its state can't be trusted afterwards.
+func (d *Daemon) tree(l *listeners, server *rpc.Server) *suture.Supervisor {
+	spec := suture.Spec{PassThroughPanics: true, EventHook: logEvent}
+	root := suture.New("wagtailwharfd", spec)
+	control := suture.New("control", spec)
+	for _, s := range []service{
+		{"loop", d.loop.Serve},
+		{"member", d.member.Serve},
+		{"owner", d.owner.Serve},
+		{"rollout", d.rollout.Serve},
+		{"orders", d.orders.Serve},
+		{"endpoints", d.followEndpoints},
+		{"peers", func(ctx context.Context) error { return d.pool.Serve(ctx, l.peers, server) }},
+		{"operators", func(ctx context.Context) error { return d.serveOperators(ctx, l.operators) }},
+	} {
+		control.Add(s)
+	}
+	traffic := suture.New("traffic", spec)
+	for _, s := range []service{
+		{"drawer", d.drawer.Serve},
+		{"reporter", d.reporter.Serve},
+		{"runner", d.runner.Serve},
+		{"callers", func(ctx context.Context) error { return d.serveCallers(ctx, l.callers) }},
+	} {
+		traffic.Add(s)
+	}
+	root.Add(control)
+	root.Add(traffic)
+	return root
+}
+
+func logEvent(event suture.Event) {
+	klog.InfoS("supervisor", "event", event.String())
+}
+
+func (d *Daemon) serveCallers(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = d.callers.Close() })
+	defer stop()
+	return serveEnded(d.callers.Serve(listener))
+}
+
+func (d *Daemon) serveOperators(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: d.operators, ReadHeaderTimeout: headerTime, WriteTimeout: operatorWrite}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return serveEnded(server.Serve(listener))
+}
+
+func serveEnded(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
+	}
+	return trace.Wrap(err)
+}
+
+// leave brings a planned stop about: no new work, then the end of what runs, then the hand-over.
+func (d *Daemon) leave(ctx context.Context) {
+	klog.InfoS("leaving", "host", d.settings.Host)
+	close(d.leaving)
+	d.entry.Closing()
+	var batch sync.WaitGroup
+	limit, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Limit))
+	defer cancel()
+	batch.Go(func() { d.runner.Drain(limit) })
+	pause(ctx, time.Duration(d.settings.Drain.Grace))
+	if err := d.callers.Shutdown(limit); err != nil {
+		klog.ErrorS(err, "requests were cut off at the drain limit")
+	}
+	batch.Wait()
+	last, cancelLast := context.WithTimeout(ctx, leaveLimit)
+	defer cancelLast()
+	d.owner.ReleaseAll(last)
+	if err := d.member.Leave(last); err != nil {
+		klog.ErrorS(err, "place not given up; the zone will reclaim it")
+	}
+	klog.InfoS("left", "host", d.settings.Host)
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Daemon) vars() map[string]any {
+	vars := map[string]any{
+		"counters":       d.metrics.Counters(),
+		"latencies":      d.metrics.Summaries(),
+		"peer-bytes-in":  d.pool.BytesIn.Load(),
+		"peer-bytes-out": d.pool.BytesOut.Load(),
+		"peer-calls":     d.pool.Calls.Load(),
+		"batch-running":  d.runner.Running(),
+		"in-force":       d.inForce(),
+	}
+	if snapshot := d.rollout.Snapshot(); snapshot != nil {
+		vars["config-version"] = snapshot.Version
+	}
+	if view := d.member.View(); view != nil {
+		vars["epoch"] = view.Self.Epoch
+		vars["generation"] = view.Zone.Generation
+		vars["live-hosts"] = fmt.Sprint(view.LiveHosts())
+	}
+	addRuntimeVars(vars)
+	return vars
+}
--- /dev/null
+++ b/wharf-load/main.go
@@ -0,0 +1,73 @@
+// Command wharf-load starts deployments on loopback and puts load on them.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailwharf.example/wharf-load/wharfdemo"
+	"wagtailwharf.example/wharf-load/wharfstack"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wharf-load:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "wharf-load",
+		Usage: "start deployments on loopback and put load on them",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`FOLDER` of the programs"},
+		},
+		Commands: []*cli.Command{
+			{Name: "demo", Usage: "walk through the whole path", Action: demo},
+			{Name: "run", Usage: "run a deployment until interrupted", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "dir", Value: ".run", Usage: "`FOLDER` for settings, keys, logs and stack.json"},
+				&cli.IntFlag{Name: "daemons", Value: 3, Usage: "daemons in each availability zone"},
+			}, Action: run},
+		},
+	}
+}
+
+func demo(ctx context.Context, c *cli.Command) error {
+	dir, err := os.MkdirTemp("", "wharf-demo-")
+	if err != nil {
+		return err
+	}
+	if err := wharfdemo.Run(ctx, wharfdemo.Options(c.String("bin"), dir, 2), os.Stdout); err != nil {
+		return fmt.Errorf("%w (logs are in %s)", err, dir)
+	}
+	fmt.Println("demo passed")
+	return os.RemoveAll(dir)
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	dir, err := filepath.Abs(c.String("dir"))
+	if err != nil {
+		return err
+	}
+	stack, err := wharfstack.Start(ctx, wharfdemo.Options(c.String("bin"), dir, c.Int("daemons")))
+	if err != nil {
+		return err
+	}
+	defer stack.Stop()
+	file := filepath.Join(dir, "stack.json")
+	if err := stack.Describe(file); err != nil {
+		return err
+	}
+	fmt.Println("running; addresses and keys are in", file)
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/wharf-load/wharfcaller/caller.go
@@ -0,0 +1,290 @@
+package wharfcaller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"strings"
+	"time"
+
+	"wagtailwharf.example/wharf-standin/wharftokens"
+	"wagtailwharf.example/wharf/protocol/wharfapi"
+	"wagtailwharf.example/wharf/protocol/wharfevents"
+	"wagtailwharf.example/wharf/protocol/wharfrefusal"
+)
+
+// Sentinel errors of a call.
+var (
+	// ErrWrongAnswer says that the answer is not that of the question.
+	ErrWrongAnswer = errors.New("wrong answer")
+	// ErrRefused says that the call was refused.
+	ErrRefused = errors.New("refused")
+)
+
+// Caller calls one daemon with one key.
+type Caller struct {
+	Base string
+	Key  string
+	HTTP *http.Client
+}
+
+// Refusal is the refusal of a call; it wraps ErrRefused.
+type Refusal struct {
+	Status     int
+	Code       string
+	RunState   wharfrefusal.RunState
+	RetryAfter string
+}
+
+// Error describes the refusal.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("refused with %d %s (%s)", r.Status, r.Code, r.RunState)
+}
+
+// Unwrap returns ErrRefused.
+func (r *Refusal) Unwrap() error {
+	return ErrRefused
+}
+
+// Timing is when parts of an answer came, counted from the call's start.
+type Timing struct {
+	First time.Duration
+	Gaps  []time.Duration
+	Total time.Duration
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// Body returns the body of a chat request.
+func Body(model, prompt string, tokens int, stream bool) []byte {
+	body, _ := json.Marshal(chatRequest{Model: model, Messages: []message{{Role: "user", Content: prompt}}, MaxTokens: tokens, Stream: stream})
+	return body
+}
+
+// Do makes a call and returns an answer that is not a refusal.
+func (c *Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if c.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode < http.StatusBadRequest {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var parsed struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&parsed)
+	return nil, &Refusal{
+		Status:     response.StatusCode,
+		Code:       parsed.Error.Code,
+		RunState:   wharfrefusal.RunState(response.Header.Get(wharfrefusal.Header)),
+		RetryAfter: response.Header.Get("Retry-After"),
+	}
+}
+
+// JSON makes a call and decodes its answer.
+func (c *Caller) JSON(ctx context.Context, method, path string, header http.Header, body []byte, result any) error {
+	response, err := c.Do(ctx, method, path, header, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(result)
+}
+
+// Chat asks once, plain or streamed, and checks that the answer is the whole and right one.
+func (c *Caller) Chat(ctx context.Context, model, prompt string, tokens int, stream bool) (Timing, error) {
+	started := time.Now()
+	response, err := c.Do(ctx, http.MethodPost, "/v1/chat/completions", nil, Body(model, prompt, tokens, stream))
+	if err != nil {
+		return Timing{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, timing, err := read(response, stream, started)
+	if err != nil {
+		return timing, err
+	}
+	if text != wharftokens.For(prompt).Join(tokens) {
+		return timing, fmt.Errorf("%w: %.60q", ErrWrongAnswer, text)
+	}
+	return timing, nil
+}
+
+func read(response *http.Response, stream bool, started time.Time) (string, Timing, error) {
+	if stream {
+		return readStream(response.Body, started)
+	}
+	data, err := io.ReadAll(response.Body)
+	timing := Timing{First: time.Since(started), Total: time.Since(started)}
+	if err != nil {
+		return "", timing, err
+	}
+	var answer struct {
+		Choices []struct {
+			Message message `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil || len(answer.Choices) == 0 {
+		return "", timing, fmt.Errorf("%w: %.60q", ErrWrongAnswer, data)
+	}
+	return answer.Choices[0].Message.Content, timing, nil
+}
+
+func readStream(stream io.Reader, started time.Time) (string, Timing, error) {
+	var text strings.Builder
+	var timing Timing
+	last := started
+	events := wharfevents.NewReader(stream)
+	for {
+		event, err := events.Next()
+		now := time.Now()
+		if errors.Is(err, io.EOF) {
+			timing.Total = now.Sub(started)
+			return text.String(), timing, nil
+		}
+		if err != nil {
+			return text.String(), timing, err
+		}
+		chunk, err := wharfapi.ParseChunk(event)
+		if err != nil {
+			return text.String(), timing, err
+		}
+		if chunk.Error != nil {
+			return text.String(), timing, fmt.Errorf("error event: %s", chunk.Error)
+		}
+		if text.Len() == 0 {
+			timing.First = now.Sub(started)
+		} else {
+			timing.Gaps = append(timing.Gaps, now.Sub(last))
+		}
+		last = now
+		text.WriteString(chunk.Text())
+	}
+}
+
+// Batch is a batch job as a caller sees it.
+type Batch struct {
+	ID           string  `json:"id"`
+	Status       string  `json:"status"`
+	OutputFileID *string `json:"output_file_id"`
+	ErrorFileID  *string `json:"error_file_id"`
+	Counts       struct {
+		Total     int `json:"total"`
+		Completed int `json:"completed"`
+		Failed    int `json:"failed"`
+	} `json:"request_counts"`
+}
+
+// Lines returns an input file of count items.
+func Lines(model, name string, count, tokens int) []byte {
+	var lines bytes.Buffer
+	for i := range count {
+		prompt := Prompt(name, i)
+		fmt.Fprintf(&lines, `{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":%s}`+"\n",
+			fmt.Sprintf("%s-%d", name, i), Body(model, prompt, tokens, false))
+	}
+	return lines.Bytes()
+}
+
+// Prompt returns the prompt of an item of Lines.
+func Prompt(name string, i int) string {
+	return fmt.Sprintf("summarise case %d of %s", i, name)
+}
+
+// Upload uploads an input file and returns its id.
+func (c *Caller) Upload(ctx context.Context, lines []byte) (string, error) {
+	var form bytes.Buffer
+	writer := multipart.NewWriter(&form)
+	_ = writer.WriteField("purpose", "batch")
+	part, _ := writer.CreateFormFile("file", "items.jsonl")
+	_, _ = part.Write(lines)
+	_ = writer.Close()
+	var file struct {
+		ID string `json:"id"`
+	}
+	header := http.Header{"Content-Type": {writer.FormDataContentType()}}
+	err := c.JSON(ctx, http.MethodPost, "/v1/files", header, form.Bytes(), &file)
+	return file.ID, err
+}
+
+// Submit submits a job over an uploaded file.
+func (c *Caller) Submit(ctx context.Context, fileID, idempotencyKey string) (Batch, error) {
+	body, _ := json.Marshal(map[string]string{"input_file_id": fileID, "endpoint": "/v1/chat/completions", "completion_window": "24h"})
+	header := http.Header{}
+	if idempotencyKey != "" {
+		header.Set("Idempotency-Key", idempotencyKey)
+	}
+	var batch Batch
+	err := c.JSON(ctx, http.MethodPost, "/v1/batches", header, body, &batch)
+	return batch, err
+}
+
+// Get returns a job.
+func (c *Caller) Get(ctx context.Context, id string) (Batch, error) {
+	var batch Batch
+	err := c.JSON(ctx, http.MethodGet, "/v1/batches/"+id, nil, nil, &batch)
+	return batch, err
+}
+
+// Results returns, by custom id, how often each item of an output or error file stands in it, and its text.
+func (c *Caller) Results(ctx context.Context, fileID string) (map[string][]string, error) {
+	response, err := c.Do(ctx, http.MethodGet, "/v1/files/"+fileID+"/content", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	results := map[string][]string{}
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var line struct {
+			CustomID string `json:"custom_id"`
+			Response struct {
+				Body struct {
+					Choices []struct {
+						Message message `json:"message"`
+					} `json:"choices"`
+				} `json:"body"`
+			} `json:"response"`
+		}
+		err := decoder.Decode(&line)
+		if errors.Is(err, io.EOF) {
+			return results, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		text := ""
+		if choices := line.Response.Body.Choices; len(choices) > 0 {
+			text = choices[0].Message.Content
+		}
+		results[line.CustomID] = append(results[line.CustomID], text)
+	}
+}
--- /dev/null
+++ b/wharf-load/wharfcaller/doc.go
@@ -0,0 +1,2 @@
+// Package wharfcaller calls the callers' interface as a client would, and checks the answers.
+package wharfcaller
--- /dev/null
+++ b/wharf-load/wharfdemo/doc.go
@@ -0,0 +1,2 @@
+// Package wharfdemo walks through the whole path on loopback.
+package wharfdemo
--- /dev/null
+++ b/wharf-load/wharfstack/bundle.go
@@ -0,0 +1,84 @@
+package wharfstack
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"wagtailwharf.example/wharf/state/wharfconfig"
+)
+
+// writeBundle writes the first configuration, with one key for each organisation.
+func (s *Stack) writeBundle() error {
+	var text strings.Builder
+	for _, zone := range s.Options.Zones {
+		fmt.Fprintf(&text, "[[zone]]\nname = %q\nregion = %q\n\n", zone, s.Options.Region)
+	}
+	for _, o := range s.Options.Organisations {
+		key := "wharf-" + rand.Text()
+		s.Keys[o.Name] = key
+		fmt.Fprintf(&text, "[[organisation]]\nname = %q\nrate = %v\nburst = %v\nweight = %v\n\n", o.Name, o.Rate, o.Burst, max(o.Weight, 1))
+		fmt.Fprintf(&text, "[[key]]\nid = %q\norganisation = %q\nsha256 = %q\n\n", o.Name+"-1", o.Name, wharfconfig.Hash([]byte(key)))
+	}
+	fmt.Fprintf(&text, "[[service]]\nname = %q\nkind = \"model\"\nmodel-version = \"1\"\n\n", s.Options.Service)
+	text.WriteString(ledgerService)
+	for _, e := range s.Engines {
+		fmt.Fprintf(&text, endpointText, e.Name, s.Options.Service, e.Zone, e.URL, s.Options.Slots)
+	}
+	for _, e := range s.Services {
+		fmt.Fprintf(&text, endpointText, e.Name, "ledger", e.Zone, e.URL, s.Options.Slots)
+	}
+	return os.WriteFile(s.Bundle, []byte(text.String()), fileMode)
+}
+
+const endpointText = "[[endpoint]]\nname = %q\nservice = %q\navailability-zone = %q\nurl = %q\nslots = %d\n\n"
+
+const ledgerService = `[[service]]
+name = "ledger"
+kind = "plain"
+
+[[service.route]]
+path = "/public"
+open = true
+repeatable = true
+
+[[service.route]]
+path = "/read"
+repeatable = true
+
+[[service.route]]
+path = "/entries"
+repeatable = false
+
+`
+
+type description struct {
+	Callers   []*Process        `json:"callers"`
+	Operators []*Process        `json:"operators"`
+	Endpoints []*Process        `json:"endpoints"`
+	Services  []*Process        `json:"services"`
+	Platform  []*Process        `json:"platform"`
+	Keys      map[string]string `json:"keys"`
+}
+
+// Describe writes where everything listens, and the keys, as JSON.
+func (s *Stack) Describe(path string) error {
+	operators := make([]*Process, 0, len(s.Daemons))
+	for _, d := range s.Daemons {
+		operators = append(operators, &Process{Name: d.Name, Zone: d.Zone, URL: d.Operator, PID: d.PID})
+	}
+	data, err := json.MarshalIndent(description{
+		Callers:   s.Daemons,
+		Operators: operators,
+		Endpoints: s.Engines,
+		Services:  s.Services,
+		Platform:  []*Process{s.Platform},
+		Keys:      s.Keys,
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), fileMode)
+}
--- /dev/null
+++ b/wharf-load/wharfstack/doc.go
@@ -0,0 +1,2 @@
+// Package wharfstack starts a whole deployment with its stand-ins as plain processes on loopback addresses.
+package wharfstack
--- /dev/null
+++ b/wharf-load/wharfstack/stack.go
@@ -0,0 +1,408 @@
+package wharfstack
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	dirMode     = 0o700
+	fileMode    = 0o600
+	readyLimit  = 40 * time.Second
+	readyPeriod = 50 * time.Millisecond
+	stopLimit   = 20 * time.Second
+)
+
+// ErrNotReady says that a process did not serve in time.
+var ErrNotReady = errors.New("process did not become ready in time")
+
+// Options are the size of a deployment.
+type Options struct {
+	Bin            string // folder of the programs
+	Dir            string // folder for settings, keys and logs
+	Zones          []string
+	Region         string
+	DaemonsPerZone int
+	EnginesPerZone int
+	Slots          int
+	TokenTime      time.Duration
+	Service        string
+	Organisations  []Organisation
+	LeaseTerm      time.Duration
+	Headroom       float64
+}
+
+// Organisation is an organisation of the deployment; it gets one key.
+type Organisation struct {
+	Name   string
+	Rate   float64
+	Burst  float64
+	Weight float64
+}
+
+// Process is one process of the deployment.
+type Process struct {
+	Name     string         `json:"host"`
+	Zone     string         `json:"availability-zone,omitempty"`
+	URL      string         `json:"url"`
+	PID      int            `json:"process-id"`
+	Operator string         `json:"-"`
+	Address  netip.AddrPort `json:"-"`
+	command  *exec.Cmd
+	done     chan struct{}
+	restart  func() (*exec.Cmd, error)
+}
+
+// Stack is a running deployment.
+type Stack struct {
+	Options   Options
+	Platform  *Process
+	Engines   []*Process
+	Services  []*Process
+	Daemons   []*Process
+	Keys      map[string]string // by organisation
+	Bundle    string            // file
+	TokenFile string
+	signerKey string
+	block     byte
+	mu        sync.Mutex
+}
+
+// Start starts every process and applies the first configuration through the command line.
+func Start(ctx context.Context, options Options) (*Stack, error) {
+	s := &Stack{Options: options, Keys: map[string]string{}}
+	if err := s.prepare(); err != nil {
+		return nil, err
+	}
+	if err := s.startAll(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Stack) prepare() error {
+	if err := os.MkdirAll(s.Options.Dir, dirMode); err != nil {
+		return err
+	}
+	block := make([]byte, 1)
+	_, _ = rand.Read(block)
+	s.block = block[0]%250 + 2
+	for _, name := range []string{"peer-token", "operator-token"} {
+		if err := s.write(name, rand.Text()); err != nil {
+			return err
+		}
+	}
+	s.TokenFile = s.path("operator-token")
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return err
+	}
+	s.signerKey = base64.StdEncoding.EncodeToString(public)
+	return s.write("signer.key", base64.StdEncoding.EncodeToString(private.Seed()))
+}
+
+func (s *Stack) path(name string) string {
+	return filepath.Join(s.Options.Dir, name)
+}
+
+func (s *Stack) write(name, text string) error {
+	return os.WriteFile(s.path(name), []byte(text+"\n"), fileMode)
+}
+
+// address returns a free port on a loopback address of this stack.
+func (s *Stack) address(zone, host int) (netip.AddrPort, error) {
+	ip := netip.AddrFrom4([4]byte{127, s.block, byte(zone), byte(host)})
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String()), nil
+}
+
+func (s *Stack) startAll(ctx context.Context) error {
+	platform, err := s.standin(ctx, "platform", "", 1, 1, "platform")
+	if err != nil {
+		return err
+	}
+	s.Platform = platform
+	if err := s.startEndpoints(ctx); err != nil {
+		return err
+	}
+	if err := s.startDaemons(ctx); err != nil {
+		return err
+	}
+	s.Bundle = s.path("bundle.toml")
+	if err := s.writeBundle(); err != nil {
+		return err
+	}
+	if err := s.Apply(ctx); err != nil {
+		return err
+	}
+	return s.AwaitReady(ctx)
+}
+
+func (s *Stack) startEndpoints(ctx context.Context) error {
+	for z, zone := range s.Options.Zones {
+		for i := range s.Options.EnginesPerZone {
+			name := fmt.Sprintf("engine-%s-%d", zone, i+1)
+			engine, err := s.standin(ctx, name, zone, z+10, i+1, "engine",
+				"--token-time", s.Options.TokenTime.String(), "--slots", fmt.Sprint(s.Options.Slots))
+			if err != nil {
+				return err
+			}
+			s.Engines = append(s.Engines, engine)
+		}
+	}
+	service, err := s.standin(ctx, "ledger-1", s.Options.Zones[0], 100, 1, "service")
+	if err != nil {
+		return err
+	}
+	s.Services = append(s.Services, service)
+	return nil
+}
+
+func (s *Stack) standin(ctx context.Context, name, zone string, block, host int, args ...string) (*Process, error) {
+	address, err := s.address(block, host)
+	if err != nil {
+		return nil, err
+	}
+	args = append(args, "--listen", address.String())
+	p := &Process{Name: name, Zone: zone, URL: "http://" + address.String(), Address: address}
+	p.restart = func() (*exec.Cmd, error) { return s.launch(name, "wharf-standin", args...) }
+	if err := s.run(p); err != nil {
+		return nil, err
+	}
+	return p, awaitPort(ctx, address)
+}
+
+func awaitPort(ctx context.Context, address netip.AddrPort) error {
+	deadline := time.Now().Add(readyLimit)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp", address.String(), readyPeriod)
+		if err == nil {
+			return conn.Close()
+		}
+		time.Sleep(readyPeriod)
+	}
+	return fmt.Errorf("%w: %s", ErrNotReady, address)
+}
+
+func (s *Stack) launch(name, program string, args ...string) (*exec.Cmd, error) {
+	logs, err := os.OpenFile(s.path(name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = logs.Close() }()
+	command := exec.Command(filepath.Join(s.Options.Bin, program), args...)
+	command.Stdout = logs
+	command.Stderr = logs
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return command, command.Start()
+}
+
+func (s *Stack) run(p *Process) error {
+	command, err := p.restart()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done := make(chan struct{})
+	p.command = command
+	p.PID = command.Process.Pid
+	p.done = done
+	go func() {
+		_ = command.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+func (s *Stack) startDaemons(ctx context.Context) error {
+	for z, zone := range s.Options.Zones {
+		for i := range s.Options.DaemonsPerZone {
+			daemon, err := s.daemon(zone, z, i)
+			if err != nil {
+				return err
+			}
+			s.Daemons = append(s.Daemons, daemon)
+		}
+	}
+	for _, daemon := range s.Daemons {
+		if err := awaitPort(ctx, daemon.Address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Stack) daemon(zone string, z, i int) (*Process, error) {
+	name := fmt.Sprintf("entry-%s-%d", zone, i+1)
+	addresses := make([]netip.AddrPort, 3)
+	for k := range addresses {
+		address, err := s.address(z+1, i+1)
+		if err != nil {
+			return nil, err
+		}
+		addresses[k] = address
+	}
+	settings := fmt.Sprintf(settingsText, name, zone, addresses[0], addresses[1], addresses[2], s.Platform.URL,
+		s.Options.LeaseTerm, s.path("peer-token"), s.path("operator-token"), s.Options.Headroom, s.signerKey)
+	if err := s.write(name+".toml", settings); err != nil {
+		return nil, err
+	}
+	p := &Process{
+		Name:     name,
+		Zone:     zone,
+		URL:      "http://" + addresses[0].String(),
+		Operator: "http://" + addresses[2].String(),
+		Address:  addresses[0],
+	}
+	p.restart = func() (*exec.Cmd, error) {
+		return s.launch(name, "wagtailwharfd", "--settings", s.path(name+".toml"))
+	}
+	return p, s.run(p)
+}
+
+const settingsText = `host = %q
+availability-zone = %q
+callers = %q
+peers = %q
+operators = %q
+platform = %q
+
+[lease]
+term = %q
+margin = "200ms"
+
+[secrets]
+peer-token-file = %q
+operator-token-file = %q
+
+[batch]
+headroom = %v
+
+[drain]
+grace = "500ms"
+
+[signing]
+signatures-needed = 1
+
+[signing.signers]
+operator = %q`
+
+// AwaitReady waits until every running daemon may get requests.
+func (s *Stack) AwaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyLimit)
+	for _, daemon := range s.Daemons {
+		for !ready(daemon) {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return fmt.Errorf("%w: %s", ErrNotReady, daemon.Name)
+			}
+			time.Sleep(readyPeriod)
+		}
+	}
+	return nil
+}
+
+func ready(p *Process) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get(p.Operator + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusNoContent
+}
+
+// CLI runs the command line and returns what it prints.
+func (s *Stack) CLI(ctx context.Context, args ...string) (string, error) {
+	command := exec.CommandContext(ctx, filepath.Join(s.Options.Bin, "wagtailwharf"), args...)
+	command.Env = append(os.Environ(),
+		"WHARF_OPERATORS="+s.Daemons[0].Operator,
+		"WHARF_OPERATOR_TOKEN_FILE="+s.TokenFile,
+		"WHARF_CALLERS="+s.Daemons[0].URL)
+	out, err := command.CombinedOutput()
+	if err != nil {
+		return string(out), fmt.Errorf("wagtailwharf %s: %w: %s", strings.Join(args, " "), err, out)
+	}
+	return strings.TrimSpace(string(out)), nil
+}
+
+// Apply signs the bundle file off and brings it into force.
+func (s *Stack) Apply(ctx context.Context) error {
+	signature := s.path("bundle.sig")
+	_, err := s.CLI(ctx, "config", "sign", s.Bundle, "--signer", "operator", "--key-file", s.path("signer.key"), "--out", signature)
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(readyLimit)
+	for {
+		_, err := s.CLI(ctx, "config", "apply", s.Bundle, "--signature", signature)
+		if err == nil || time.Now().After(deadline) || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// Kill ends a process as kill -9 does, and returns once it is gone.
+func (s *Stack) Kill(p *Process) {
+	_ = p.command.Process.Kill()
+	<-p.done
+}
+
+// Signal sends a signal to a process.
+func (s *Stack) Signal(p *Process, signal syscall.Signal) error {
+	return p.command.Process.Signal(signal)
+}
+
+// Wait waits until a process has ended.
+func (s *Stack) Wait(ctx context.Context, p *Process) error {
+	select {
+	case <-p.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Restart starts a process again that has ended.
+func (s *Stack) Restart(p *Process) error {
+	return s.run(p)
+}
+
+// Stop ends every process.
+func (s *Stack) Stop() {
+	all := append([]*Process{}, s.Daemons...)
+	all = append(all, s.Engines...)
+	all = append(all, s.Services...)
+	if s.Platform != nil {
+		all = append(all, s.Platform)
+	}
+	for _, p := range all {
+		_ = p.command.Process.Kill()
+	}
+	for _, p := range all {
+		select {
+		case <-p.done:
+		case <-time.After(stopLimit):
+		}
+	}
+}
--- /dev/null
+++ b/wharf-standin/wharfplain/doc.go
@@ -0,0 +1,2 @@
+// Package wharfplain is a small stand-in for a plain service that counts its runs.
+package wharfplain
--- /dev/null
+++ b/wharf-standin/wharfplatform/platform.go
@@ -0,0 +1,279 @@
+package wharfplatform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"wagtailwharf.example/wharf/state/wharfrow"
+	"wagtailwharf.example/wharf/state/wharftable"
+)
+
+const (
+	zoneHeader      = "Wharf-Availability-Zone"
+	maxBodyBytes    = 256 << 20
+	maxScanRows     = 1000
+	weightBytes     = 1 << 20
+	weightsPerSec   = 4
+	defaultWrites   = 400
+	defaultReads    = 2000
+	budgetBurstSecs = 2
+)
+
+// Platform is an HTTP handler that stands in for the platform, with faults that can be set while it runs.
+type Platform struct {
+	mux     *http.ServeMux
+	table   *wharftable.Table
+	mu      sync.Mutex
+	faults  Faults
+	objects map[string][]byte
+	hosts   []hostList
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	weights *rate.Limiter
+	counts  Counts
+}
+
+// Faults are the failures that the platform shows at present.
+type Faults struct {
+	Down             bool     `json:"down"`
+	SlowMillis       int      `json:"slow-ms"`
+	LoseReplies      float64  `json:"lose-replies"`
+	CutZones         []string `json:"cut-availability-zones"`
+	HostListLagMilli int      `json:"host-list-lag-ms"`
+}
+
+// Counts are the calls served so far.
+type Counts struct {
+	Reads     int64 `json:"reads"`
+	Writes    int64 `json:"writes"`
+	RowWrites int64 `json:"row-writes"`
+	Conflicts int64 `json:"conflicts"`
+	Throttled int64 `json:"throttled"`
+	Objects   int64 `json:"objects"`
+}
+
+// Host is an entry of the host list; its state is "live" or "leaving".
+type Host struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+}
+
+type hostList struct {
+	at    time.Time
+	hosts []Host
+}
+
+// New returns an empty platform that allows several hundred writes and two thousand reads a second.
+func New() *Platform {
+	p := &Platform{
+		mux:     http.NewServeMux(),
+		table:   wharftable.New(),
+		objects: map[string][]byte{},
+		writes:  rate.NewLimiter(defaultWrites, defaultWrites*budgetBurstSecs),
+		reads:   rate.NewLimiter(defaultReads, defaultReads*budgetBurstSecs),
+		weights: rate.NewLimiter(weightsPerSec, weightsPerSec),
+	}
+	p.mux.HandleFunc("POST /table/commit", p.served(p.writes, p.commit))
+	p.mux.HandleFunc("GET /table/row", p.served(p.reads, p.get))
+	p.mux.HandleFunc("GET /table/scan", p.served(p.reads, p.scan))
+	p.mux.HandleFunc("PUT /objects/{key...}", p.served(p.writes, p.putObject))
+	p.mux.HandleFunc("GET /objects/{key...}", p.served(p.reads, p.getObject))
+	p.mux.HandleFunc("GET /weights/{name}", p.served(p.weights, p.getWeights))
+	p.mux.HandleFunc("GET /hosts", p.served(p.reads, p.getHosts))
+	p.mux.HandleFunc("PUT /hosts", p.putHosts)
+	p.mux.HandleFunc("PUT /faults", p.putFaults)
+	p.mux.HandleFunc("GET /counts", p.getCounts)
+	return p
+}
+
+// ServeHTTP serves the platform's interfaces and the control of its faults.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the present faults.
+func (p *Platform) SetFaults(faults Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults
+}
+
+// Counts returns the calls served so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+func (p *Platform) current() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+func (p *Platform) count(change func(*Counts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.counts)
+}
+
+// served wraps a call in the present faults: refused before it, delayed, or its reply lost after it.
+func (p *Platform) served(budget *rate.Limiter, call http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		faults := p.current()
+		zone := r.Header.Get(zoneHeader)
+		if faults.Down || (zone != "" && slices.Contains(faults.CutZones, zone)) {
+			http.Error(w, "platform down", http.StatusServiceUnavailable)
+			return
+		}
+		if !budget.Allow() {
+			p.count(func(c *Counts) { c.Throttled++ })
+			http.Error(w, "over the platform's budget", http.StatusTooManyRequests)
+			return
+		}
+		if faults.SlowMillis > 0 {
+			time.Sleep(time.Duration(faults.SlowMillis) * time.Millisecond)
+		}
+		if faults.LoseReplies > 0 && rand.Float64() < faults.LoseReplies {
+			call(&discard{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+		call(w, r)
+	}
+}
+
+type discard struct {
+	header http.Header
+}
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var commit wharfrow.Commit
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&commit); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err := p.table.Commit(commit)
+	p.count(func(c *Counts) {
+		c.Writes++
+		c.RowWrites += int64(len(commit.Writes))
+		if err != nil {
+			c.Conflicts++
+		}
+	})
+	if errors.Is(err, wharfrow.ErrConflict) {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *Counts) { c.Reads++ })
+	reply(w, p.table.Get(r.URL.Query().Get("key")))
+}
+
+func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *Counts) { c.Reads++ })
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit < 1 || limit > maxScanRows {
+		limit = maxScanRows
+	}
+	rows := p.table.Scan(query.Get("prefix"), query.Get("after"), limit)
+	if rows == nil {
+		rows = []wharfrow.Row{}
+	}
+	reply(w, rows)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Objects++
+	key := r.PathValue("key")
+	if _, found := p.objects[key]; found && r.Header.Get("If-None-Match") == "*" {
+		http.Error(w, "object exists", http.StatusPreconditionFailed)
+		return
+	}
+	p.objects[key] = data
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.counts.Reads++
+	data, found := p.objects[r.PathValue("key")]
+	p.mu.Unlock()
+	if !found {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+}
+
+func (p *Platform) getWeights(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write(make([]byte, weightBytes))
+}
+
+func (p *Platform) getHosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	visible := time.Now().Add(-time.Duration(p.faults.HostListLagMilli) * time.Millisecond)
+	hosts := []Host{}
+	for _, list := range p.hosts {
+		if !list.at.After(visible) {
+			hosts = list.hosts
+		}
+	}
+	reply(w, hosts)
+}
+
+func (p *Platform) putHosts(w http.ResponseWriter, r *http.Request) {
+	var hosts []Host
+	if err := json.NewDecoder(r.Body).Decode(&hosts); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = append(p.hosts, hostList{at: time.Now(), hosts: hosts})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) getCounts(w http.ResponseWriter, _ *http.Request) {
+	reply(w, p.Counts())
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/wharf/coordination/wharfbatch/claim.go
@@ -0,0 +1,225 @@
+package wharfbatch
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/coordination/wharfstorage"
+	"wagtailwharf.example/wharf/state/wharfjob"
+	"wagtailwharf.example/wharf/state/wharfrank"
+	"wagtailwharf.example/wharf/state/wharfrow"
+)
+
+const (
+	offersPage = 1000
+	served     = 0.9 // share of the served count that is kept at each round of claims
+)
+
+type offer struct {
+	open    wharfjob.Open
+	version uint64
+}
+
+// claimLoop claims chunks for the permits that have no items, and commits what was answered.
+func (r *Runner) claimLoop(ctx context.Context) {
+	ticker := time.NewTicker(claimPeriod)
+	defer ticker.Stop()
+	saved := time.Now()
+	for {
+		if wanted := r.wanted(); len(wanted) > 0 && r.mayClaim() {
+			r.claimSome(ctx, wanted)
+		}
+		if time.Since(saved) >= commitPeriod {
+			saved = time.Now()
+			r.work.Go(func() { r.saveAll(ctx) })
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Runner) mayClaim() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.stopping && r.options.Member.InForce()
+}
+
+func (r *Runner) claimSome(ctx context.Context, wanted map[string]int) {
+	limited, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	offers, err := r.offers(limited, wanted)
+	if err != nil {
+		return
+	}
+	r.order(offers)
+	claimed := 0
+	for _, o := range offers {
+		if wanted[o.open.Service] <= 0 || claimed >= readyChunks {
+			continue
+		}
+		items, err := r.claim(ctx, limited, o)
+		if errors.Is(err, wharfrow.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			klog.V(1).InfoS("chunk not claimed", "job", o.open.Job, "error", err.Error())
+			return
+		}
+		claimed++
+		wanted[o.open.Service] -= items
+	}
+}
+
+// offers reads the open jobs that have unclaimed chunks for the wanted services.
+func (r *Runner) offers(ctx context.Context, wanted map[string]int) ([]offer, error) {
+	var offers []offer
+	err := wharfstorage.ScanAll(ctx, r.options.Storage, wharfjob.OpenPrefix, func(row wharfrow.Row) error {
+		var open wharfjob.Open
+		if err := json.Unmarshal(row.Value, &open); err != nil {
+			return trace.Wrap(err)
+		}
+		if open.Next < open.Chunks && wanted[open.Service] > 0 {
+			offers = append(offers, offer{open: open, version: row.Version})
+		}
+		return nil
+	})
+	return offers, trace.Wrap(err)
+}
+
+// order puts the organisation first that was served least for its weight, and its most urgent job;
+// jobs that are late or nearly so come before all.
+func (r *Runner) order(offers []offer) {
+	config := r.options.Config()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := map[string]float64{}
+	for organisation, count := range r.served {
+		weight := 1.0
+		if o := config.Organisations[organisation]; o != nil {
+			weight = o.Weight
+		}
+		due[organisation] = count / weight
+		r.served[organisation] = count * served
+	}
+	now := time.Now()
+	rand.Shuffle(len(offers), func(i, j int) { offers[i], offers[j] = offers[j], offers[i] })
+	slices.SortStableFunc(offers, func(a, b offer) int {
+		return cmp.Or(
+			-boolCompare(urgent(a, now), urgent(b, now)),
+			cmp.Compare(due[a.open.Organisation], due[b.open.Organisation]),
+			a.open.Deadline.Compare(b.open.Deadline))
+	})
+}
+
+func urgent(o offer, now time.Time) bool {
+	const itemTime = 100 * time.Millisecond
+	left := o.open.Chunks - o.open.Next
+	need := time.Duration(o.open.Items*left/max(1, o.open.Chunks)) * itemTime
+	return o.open.Deadline.Sub(now) < need
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// claim commits this incarnation as the owner of a job's next chunk and queues its items, which run until work ends.
+func (r *Runner) claim(work, ctx context.Context, o offer) (int, error) {
+	view := r.options.Member.View()
+	if !view.InForce(time.Now()) {
+		return 0, trace.Wrap(wharfrow.ErrConflict)
+	}
+	owner := wharfjob.Owner{Zone: r.options.Zone, Host: view.Self.Host, Epoch: view.Self.Epoch}
+	claim := wharfjob.Claim{Job: o.open.Job, FileID: o.open.FileID, Chunk: o.open.Next}
+	key := wharfjob.ClaimKey(owner, claim.Job, claim.Chunk)
+	next := o.open
+	next.Next++
+	conditions := []wharfrow.Condition{
+		wharfstorage.At(wharfjob.OpenKey(claim.Job), o.version),
+		wharfstorage.At(key, 0),
+	}
+	err := wharfstorage.Commit(ctx, r.options.Storage, conditions,
+		wharfstorage.Put(wharfjob.OpenKey(claim.Job), next),
+		wharfstorage.Put(key, claim))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	return r.load(work, ctx, o.open, claim, key)
+}
+
+// load reads the items of a claim and queues those that have no committed result.
+func (r *Runner) load(work, ctx context.Context, open wharfjob.Open, claim wharfjob.Claim, key string) (int, error) {
+	row, err := r.options.Storage.Get(ctx, key)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	job, jobVersion, err := wharfstorage.Read[wharfjob.Job](ctx, r.options.Storage, wharfjob.JobKey(claim.Job))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	if row.Version == 0 || job.State != wharfjob.InProgress {
+		return 0, trace.Wrap(wharfrow.ErrConflict)
+	}
+	data, err := r.options.Storage.GetObject(ctx, wharfjob.InputObject(claim.FileID, claim.Chunk))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	open.JobVersion = jobVersion
+	c := newChunk(work, open, claim, key, row.Version)
+	items, err := c.items(data)
+	if err != nil {
+		c.stop()
+		return 0, trace.Wrap(err)
+	}
+	r.admit(c, items)
+	if len(items) == 0 {
+		r.complete(work, c)
+	}
+	return len(items), nil
+}
+
+func (r *Runner) admit(c *chunk, items []*item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.left = len(items)
+	r.chunks[c] = struct{}{}
+	q := r.queueOf(c.open.Service)
+	for _, it := range items {
+		q.push(it)
+	}
+	r.signal()
+}
+
+// drop ends the work on a chunk that is this host's no more, or whose job has ended.
+func (r *Runner) drop(c *chunk) {
+	c.stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.chunks, c)
+	r.queueOf(c.open.Service).drop(c)
+}
+
+// isFirst reports whether this host ranks first in its zone for a piece of housekeeping.
+func (r *Runner) isFirst(task string) bool {
+	view := r.options.Member.View()
+	if !view.InForce(time.Now()) {
+		return false
+	}
+	return wharfrank.First(task, view.LiveHosts()) == view.Self.Host
+}
--- /dev/null
+++ b/wharf/coordination/wharfbatch/doc.go
@@ -0,0 +1,2 @@
+// Package wharfbatch claims chunks of batch jobs and completes their items.
+package wharfbatch
--- /dev/null
+++ b/wharf/coordination/wharfcontrol/doc.go
@@ -0,0 +1,2 @@
+// Package wharfcontrol runs the one goroutine that owns control state.
+package wharfcontrol
--- /dev/null
+++ b/wharf/coordination/wharfjobs/doc.go
@@ -0,0 +1,2 @@
+// Package wharfjobs accepts batch jobs and answers for them.
+package wharfjobs
--- /dev/null
+++ b/wharf/coordination/wharfjobs/jobs.go
@@ -0,0 +1,429 @@
+package wharfjobs
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"wagtailwharf.example/wharf/coordination/wharfstorage"
+	"wagtailwharf.example/wharf/state/wharfconfig"
+	"wagtailwharf.example/wharf/state/wharfjob"
+	"wagtailwharf.example/wharf/state/wharfrow"
+)
+
+const (
+	// MaxLineBytes is the largest line of an input file.
+	MaxLineBytes = 1 << 20
+	// MaxItems is the largest number of items of a job.
+	MaxItems = 600_000
+
+	commitTimeout = 10 * time.Second
+)
+
+// Sentinel errors of files and jobs.
+var (
+	// ErrNotFound says that the organisation has no such file or job.
+	ErrNotFound = errors.New("no such file or job")
+	// ErrBadInput says that an input file or a job can't be accepted as it is.
+	ErrBadInput = errors.New("input can not be accepted")
+	// ErrKeyReused says that an idempotency key stands for another job.
+	ErrKeyReused = errors.New("idempotency key was used for another job")
+)
+
+// Jobs accepts files and jobs of organisations, cancels jobs and reads their results.
+type Jobs struct {
+	storage wharfstorage.Storage
+}
+
+// New returns the jobs that are kept in storage.
+func New(storage wharfstorage.Storage) *Jobs {
+	return &Jobs{storage: storage}
+}
+
+// Upload stores an input file of JSON lines; a bad line is refused with its number. Uploads of the same
+// content by one organisation with the same idempotency key are one file.
+func (j *Jobs) Upload(ctx context.Context, organisation, name, idempotencyKey string, data []byte) (wharfjob.File, error) {
+	lines, service, path, err := parseLines(data)
+	if err != nil {
+		return wharfjob.File{}, trace.Wrap(err)
+	}
+	file := wharfjob.File{
+		ID:           fileID(organisation, idempotencyKey, data),
+		Organisation: organisation,
+		Name:         name,
+		Bytes:        int64(len(data)),
+		Items:        len(lines),
+		ChunkItems:   wharfjob.ChunkItems(len(lines)),
+		Service:      service,
+		Path:         path,
+		CreatedAt:    time.Now().UTC(),
+	}
+	if existing, version, err := wharfstorage.Read[wharfjob.File](ctx, j.storage, wharfjob.FileKey(file.ID)); err != nil || version != 0 {
+		return existing, trace.Wrap(err)
+	}
+	if err := j.storeChunks(ctx, &file, lines); err != nil {
+		return wharfjob.File{}, trace.Wrap(err)
+	}
+	return j.commitFile(ctx, file)
+}
+
+func (j *Jobs) commitFile(ctx context.Context, file wharfjob.File) (wharfjob.File, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	key := wharfjob.FileKey(file.ID)
+	err := wharfstorage.Commit(ctx, j.storage, []wharfrow.Condition{wharfstorage.At(key, 0)}, wharfstorage.Put(key, file))
+	if errors.Is(err, wharfrow.ErrConflict) {
+		existing, _, err := wharfstorage.Read[wharfjob.File](ctx, j.storage, key)
+		return existing, trace.Wrap(err)
+	}
+	return file, trace.Wrap(err)
+}
+
+func fileID(organisation, idempotencyKey string, data []byte) string {
+	if idempotencyKey == "" {
+		return "file-" + newID()
+	}
+	return "file-" + wharfconfig.Hash([]byte(organisation + "\x00" + idempotencyKey + "\x00" + wharfconfig.Hash(data)))[:32]
+}
+
+func newID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	return id.String()
+}
+
+func (j *Jobs) storeChunks(ctx context.Context, file *wharfjob.File, lines [][]byte) error {
+	for chunk := range file.Chunks() {
+		start := chunk * file.ChunkItems
+		end := min(start+file.ChunkItems, len(lines))
+		data := bytes.Join(lines[start:end], []byte("\n"))
+		if err := j.storage.PutObject(ctx, wharfjob.InputObject(file.ID, chunk), data); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// parseLines checks every line and returns them with the one service and path that they ask for.
+func parseLines(data []byte) (lines [][]byte, service, path string, err error) {
+	scanner := bufio.NewScanner(bytes.NewReader(data))
+	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), MaxLineBytes)
+	seen := map[string]int{}
+	number := 0
+	for scanner.Scan() {
+		number++
+		text := bytes.TrimSpace(scanner.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		line, model, err := parseLine(text)
+		if err != nil {
+			return nil, "", "", badLine(number, err)
+		}
+		if first, twice := seen[line.CustomID]; twice {
+			return nil, "", "", badLine(number, fmt.Errorf("custom_id %q stands on line %d too", line.CustomID, first))
+		}
+		seen[line.CustomID] = number
+		if len(lines) == 0 {
+			service = model
+			path = line.URL
+		}
+		if model != service || line.URL != path {
+			return nil, "", "", badLine(number, fmt.Errorf("all lines must have the same model and url; the first has %q and %q", service, path))
+		}
+		lines = append(lines, bytes.Clone(text))
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, "", "", badLine(number+1, fmt.Errorf("longer than %d bytes", MaxLineBytes))
+	}
+	if len(lines) == 0 || len(lines) > MaxItems {
+		return nil, "", "", trace.Wrap(fmt.Errorf("%w: %d items; a file holds 1 to %d", ErrBadInput, len(lines), MaxItems))
+	}
+	return lines, service, path, nil
+}
+
+func badLine(number int, err error) error {
+	return trace.Wrap(fmt.Errorf("%w: line %d: %v", ErrBadInput, number, err))
+}
+
+func parseLine(text []byte) (line wharfjob.Line, model string, err error) {
+	if err := json.Unmarshal(text, &line); err != nil {
+		return line, "", fmt.Errorf("malformed JSON: %v", err)
+	}
+	if line.CustomID == "" {
+		return line, "", errors.New("custom_id is missing")
+	}
+	if line.Method != "POST" {
+		return line, "", fmt.Errorf("method is %q, not POST", line.Method)
+	}
+	if line.URL != "/v1/chat/completions" && line.URL != "/v1/completions" {
+		return line, "", fmt.Errorf("url %q is not /v1/chat/completions or /v1/completions", line.URL)
+	}
+	var body struct {
+		Model string `json:"model"`
+	}
+	if err := json.Unmarshal(line.Body, &body); err != nil || body.Model == "" {
+		return line, "", errors.New("body must be an object with a model")
+	}
+	return line, body.Model, nil
+}
+
+// File returns a file of an organisation, or ErrNotFound.
+func (j *Jobs) File(ctx context.Context, organisation, id string) (wharfjob.File, error) {
+	file, version, err := wharfstorage.Read[wharfjob.File](ctx, j.storage, wharfjob.FileKey(id))
+	if err != nil {
+		return file, trace.Wrap(err)
+	}
+	if version == 0 || file.Organisation != organisation {
+		return wharfjob.File{}, trace.Wrap(ErrNotFound)
+	}
+	return file, nil
+}
+
+// Content writes the lines of an input file.
+func (j *Jobs) Content(ctx context.Context, file wharfjob.File, w io.Writer) error {
+	for chunk := range file.Chunks() {
+		data, err := j.storage.GetObject(ctx, wharfjob.InputObject(file.ID, chunk))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if _, err := w.Write(append(data, '\n')); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// Request asks for a job over an uploaded file.
+type Request struct {
+	Organisation   string
+	FileID         string
+	Path           string
+	Window         string
+	Metadata       map[string]string
+	IdempotencyKey string
+}
+
+// fingerprint tells requests apart; it is the idempotency key of those that bring none.
+func (r *Request) fingerprint() string {
+	data, _ := json.Marshal([]any{r.FileID, r.Path, r.Window, r.Metadata})
+	return wharfconfig.Hash(data)
+}
+
+// Submit accepts a job by one commit; sent again, with the same idempotency key or else the same request, it
+// returns the job accepted before.
+func (j *Jobs) Submit(ctx context.Context, request Request) (wharfjob.Job, error) {
+	window, err := time.ParseDuration(request.Window)
+	if err != nil || window <= 0 {
+		return wharfjob.Job{}, trace.Wrap(fmt.Errorf("%w: completion_window %q is not a duration such as 24h", ErrBadInput, request.Window))
+	}
+	fingerprint := request.fingerprint()
+	key := fingerprint
+	if request.IdempotencyKey != "" {
+		key = wharfconfig.Hash([]byte(request.IdempotencyKey))
+	}
+	submissionKey := wharfjob.SubmissionKey(request.Organisation, key)
+	if job, found, err := j.submitted(ctx, submissionKey, fingerprint); err != nil || found {
+		return job, trace.Wrap(err)
+	}
+	file, err := j.File(ctx, request.Organisation, request.FileID)
+	if err != nil {
+		return wharfjob.Job{}, trace.Wrap(err)
+	}
+	if file.Path != request.Path {
+		return wharfjob.Job{}, trace.Wrap(fmt.Errorf("%w: endpoint is %q, but the file's lines ask for %q", ErrBadInput, request.Path, file.Path))
+	}
+	job := newJob(&request, &file, window)
+	err = j.accept(ctx, &job, submissionKey, fingerprint)
+	if errors.Is(err, wharfrow.ErrConflict) {
+		job, _, err := j.submitted(ctx, submissionKey, fingerprint)
+		return job, trace.Wrap(err)
+	}
+	return job, trace.Wrap(err)
+}
+
+func newJob(request *Request, file *wharfjob.File, window time.Duration) wharfjob.Job {
+	now := time.Now().UTC()
+	return wharfjob.Job{
+		ID:           "batch_" + newID(),
+		Organisation: request.Organisation,
+		FileID:       file.ID,
+		Path:         file.Path,
+		Service:      file.Service,
+		State:        wharfjob.InProgress,
+		Items:        file.Items,
+		Chunks:       file.Chunks(),
+		CreatedAt:    now,
+		Deadline:     now.Add(window),
+		Window:       request.Window,
+		Metadata:     request.Metadata,
+	}
+}
+
+func (j *Jobs) submitted(ctx context.Context, key, fingerprint string) (job wharfjob.Job, found bool, err error) {
+	submission, version, err := wharfstorage.Read[wharfjob.Submission](ctx, j.storage, key)
+	if err != nil || version == 0 {
+		return job, false, trace.Wrap(err)
+	}
+	if submission.Fingerprint != fingerprint {
+		return job, false, trace.Wrap(ErrKeyReused)
+	}
+	job, _, err = wharfstorage.Read[wharfjob.Job](ctx, j.storage, wharfjob.JobKey(submission.Job))
+	return job, true, trace.Wrap(err)
+}
+
+func (j *Jobs) accept(ctx context.Context, job *wharfjob.Job, submissionKey, fingerprint string) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	open := wharfjob.Open{
+		Job:          job.ID,
+		Organisation: job.Organisation,
+		FileID:       job.FileID,
+		Service:      job.Service,
+		Chunks:       job.Chunks,
+		Items:        job.Items,
+		Deadline:     job.Deadline,
+	}
+	conditions := []wharfrow.Condition{wharfstorage.At(submissionKey, 0), wharfstorage.At(wharfjob.JobKey(job.ID), 0)}
+	return trace.Wrap(wharfstorage.Commit(ctx, j.storage, conditions,
+		wharfstorage.Put(wharfjob.JobKey(job.ID), job),
+		wharfstorage.Put(wharfjob.OpenKey(job.ID), open),
+		wharfstorage.Put(wharfjob.ListKey(job.Organisation, job.ID), job.ID),
+		wharfstorage.Put(submissionKey, wharfjob.Submission{Job: job.ID, Fingerprint: fingerprint})))
+}
+
+// Get returns a job of an organisation with its counts so far, or ErrNotFound.
+func (j *Jobs) Get(ctx context.Context, organisation, id string) (wharfjob.Job, error) {
+	job, _, err := j.read(ctx, organisation, id)
+	if err != nil || job.State == wharfjob.Completed {
+		return job, trace.Wrap(err)
+	}
+	err = j.count(ctx, &job)
+	return job, trace.Wrap(err)
+}
+
+func (j *Jobs) read(ctx context.Context, organisation, id string) (wharfjob.Job, uint64, error) {
+	job, version, err := wharfstorage.Read[wharfjob.Job](ctx, j.storage, wharfjob.JobKey(id))
+	if err != nil {
+		return job, 0, trace.Wrap(err)
+	}
+	if version == 0 || job.Organisation != organisation {
+		return wharfjob.Job{}, 0, trace.Wrap(ErrNotFound)
+	}
+	return job, version, nil
+}
+
+func (j *Jobs) count(ctx context.Context, job *wharfjob.Job) error {
+	job.Completed = 0
+	job.Failed = 0
+	return trace.Wrap(j.parts(ctx, job.ID, func(part wharfjob.Part) error {
+		job.Completed += part.Completed
+		job.Failed += part.Failed
+		return nil
+	}))
+}
+
+// parts visits the parts of the finished chunks in order.
+func (j *Jobs) parts(ctx context.Context, id string, visit func(wharfjob.Part) error) error {
+	return wharfstorage.ScanAll(ctx, j.storage, wharfjob.DonePrefix(id), func(row wharfrow.Row) error {
+		var done wharfjob.Done
+		if err := json.Unmarshal(row.Value, &done); err != nil {
+			return trace.Wrap(err)
+		}
+		for _, part := range done.Parts {
+			if err := visit(part); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+		return nil
+	})
+}
+
+// List returns up to limit jobs of an organisation that sort after the id after, oldest first.
+func (j *Jobs) List(ctx context.Context, organisation, after string, limit int) ([]wharfjob.Job, error) {
+	prefix := wharfjob.ListKey(organisation, "")
+	from := ""
+	if after != "" {
+		from = prefix + after
+	}
+	rows, err := j.storage.Scan(ctx, prefix, from, limit)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	jobs := make([]wharfjob.Job, 0, len(rows))
+	for _, row := range rows {
+		job, _, err := j.read(ctx, organisation, row.Key[len(prefix):])
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		jobs = append(jobs, job)
+	}
+	return jobs, nil
+}
+
+// Cancel ends a job; once it has returned, no item of the job completes any more.
+func (j *Jobs) Cancel(ctx context.Context, organisation, id string) (wharfjob.Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	for {
+		job, version, err := j.read(ctx, organisation, id)
+		if err != nil || job.State != wharfjob.InProgress {
+			return job, trace.Wrap(err)
+		}
+		job.State = wharfjob.Cancelled
+		job.EndedAt = time.Now().UTC()
+		key := wharfjob.JobKey(id)
+		err = wharfstorage.Commit(ctx, j.storage, []wharfrow.Condition{wharfstorage.At(key, version)},
+			wharfstorage.Put(key, job), wharfstorage.Delete(wharfjob.OpenKey(id)))
+		if errors.Is(err, wharfrow.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return job, trace.Wrap(err)
+		}
+		return job, trace.Wrap(j.count(ctx, &job))
+	}
+}
+
+// Results writes the lines of a job's answered items, or of its failed ones.
+func (j *Jobs) Results(ctx context.Context, organisation, id string, failed bool, w io.Writer) error {
+	if _, _, err := j.read(ctx, organisation, id); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(j.parts(ctx, id, func(part wharfjob.Part) error {
+		if (failed && part.Failed == 0) || (!failed && part.Completed == 0) {
+			return nil
+		}
+		data, err := j.storage.GetObject(ctx, part.Object)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(filter(data, failed, w))
+	}))
+}
+
+func filter(data []byte, failed bool, w io.Writer) error {
+	for line := range bytes.Lines(data) {
+		var result wharfjob.Result
+		if err := json.Unmarshal(line, &result); err != nil {
+			return trace.Wrap(err)
+		}
+		if (result.Error != nil) != failed {
+			continue
+		}
+		if _, err := w.Write(line); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/wharf/coordination/wharfmember/doc.go
@@ -0,0 +1,2 @@
+// Package wharfmember joins a host to its availability zone and keeps its lease.
+package wharfmember
--- /dev/null
+++ b/wharf/coordination/wharfonce/doc.go
@@ -0,0 +1,2 @@
+// Package wharfonce reserves requests that may not be repeated.
+package wharfonce
--- /dev/null
+++ b/wharf/coordination/wharforder/orders.go
@@ -0,0 +1,121 @@
+package wharforder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/coordination/wharfbatch"
+	"wagtailwharf.example/wharf/coordination/wharfmember"
+	"wagtailwharf.example/wharf/state/wharfconfig"
+	"wagtailwharf.example/wharf/state/wharfsnapshot"
+)
+
+const (
+	roundPeriod  = 2 * time.Second
+	callTimeout  = 2 * time.Second
+	atOnce       = 16
+	steadyRounds = 15 // rounds between two looks at an endpoint that was in order
+)
+
+// Order tells an endpoint which version to run, with the fencing number of who gives it.
+type Order struct {
+	ModelVersion string `json:"model-version"`
+	Fence        uint64 `json:"fence"`
+}
+
+// Endpoints are the calls about orders to endpoints.
+type Endpoints interface {
+	// Ordered reads back the order that an endpoint follows.
+	Ordered(ctx context.Context, endpoint wharfconfig.Endpoint) (Order, error)
+	// Order gives an order.
+	Order(ctx context.Context, endpoint wharfconfig.Endpoint, order Order) error
+}
+
+// Orders compares endpoints with the configuration and gives orders where they differ. An endpoint that ignores
+// fencing numbers may follow a host that has lost its authority for a while; reading back mends that.
+type Orders struct {
+	zone      string
+	member    *wharfmember.Member
+	config    func() *wharfsnapshot.Snapshot
+	endpoints Endpoints
+	rounds    int
+	steady    map[string]uint64 // endpoint → configuration version in which it was in order
+	mu        sync.Mutex
+}
+
+// New returns the orders of one host.
+func New(zone string, member *wharfmember.Member, config func() *wharfsnapshot.Snapshot, endpoints Endpoints) *Orders {
+	return &Orders{zone: zone, member: member, config: config, endpoints: endpoints, steady: map[string]uint64{}}
+}
+
+// Serve compares and orders until ctx ends.
+func (o *Orders) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(roundPeriod)
+	defer ticker.Stop()
+	for {
+		o.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (o *Orders) round(ctx context.Context) {
+	config := o.config()
+	view := o.member.View()
+	if config == nil || !view.InForce(time.Now()) {
+		return
+	}
+	o.rounds++
+	hosts := view.LiveHosts()
+	slots := make(chan struct{}, atOnce)
+	var calls sync.WaitGroup
+	for _, service := range config.Services {
+		for _, endpoint := range service.Endpoints {
+			mine := endpoint.Zone == o.zone && wharfbatch.Scheduler(endpoint.Name, hosts) == view.Self.Host
+			if service.Version == "" || !mine || o.rests(endpoint.Name, config.Version) {
+				continue
+			}
+			slots <- struct{}{}
+			calls.Go(func() {
+				defer func() { <-slots }()
+				o.fit(ctx, endpoint, Order{ModelVersion: service.Version, Fence: view.Self.Epoch}, config.Version)
+			})
+		}
+	}
+	calls.Wait()
+}
+
+func (o *Orders) rests(endpoint string, version uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.steady[endpoint] == version && o.rounds%steadyRounds != 0
+}
+
+func (o *Orders) fit(ctx context.Context, endpoint wharfconfig.Endpoint, order Order, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	present, err := o.endpoints.Ordered(ctx, endpoint)
+	if err != nil {
+		return
+	}
+	if present.ModelVersion == order.ModelVersion {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.steady[endpoint.Name] = version
+		return
+	}
+	if !o.member.InForce() {
+		return
+	}
+	if err := o.endpoints.Order(ctx, endpoint, order); err != nil {
+		klog.V(1).InfoS("order not taken", "endpoint", endpoint.Name, "error", err.Error())
+		return
+	}
+	klog.InfoS("order given", "endpoint", endpoint.Name, "model-version", order.ModelVersion, "fence", order.Fence)
+}
--- /dev/null
+++ b/wharf/coordination/wharfquota/doc.go
@@ -0,0 +1,2 @@
+// Package wharfquota owns quota shards and draws tokens from their owners.
+package wharfquota
--- /dev/null
+++ b/wharf/coordination/wharfquota/owner.go
@@ -0,0 +1,280 @@
+package wharfquota
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/coordination/wharfcontrol"
+	"wagtailwharf.example/wharf/coordination/wharfmember"
+	"wagtailwharf.example/wharf/coordination/wharfstorage"
+	"wagtailwharf.example/wharf/state/wharfbucket"
+	"wagtailwharf.example/wharf/state/wharfrank"
+	"wagtailwharf.example/wharf/state/wharfrow"
+	"wagtailwharf.example/wharf/state/wharfsnapshot"
+)
+
+const (
+	// ShardCount is the number of quota shards of a zone.
+	ShardCount = 16
+	// GrantTerm is how long drawn tokens may be spent, counted by the drawer from its sending.
+	GrantTerm = 500 * time.Millisecond
+	// GrantMargin is how much longer the owner counts them, for clocks of unequal rate.
+	GrantMargin = 100 * time.Millisecond
+
+	ownPeriod = 500 * time.Millisecond
+	ownLimit  = 3 * time.Second
+)
+
+// Owner owns quota shards of its zone under the host lease, and grants tokens from their buckets.
+type Owner struct {
+	zone    string
+	storage wharfstorage.Storage
+	member  *wharfmember.Member
+	loop    *wharfcontrol.Loop
+	config  func() *wharfsnapshot.Snapshot
+	stopped atomic.Bool
+	epoch   uint64         // owned by the control goroutine
+	shards  map[int]*shard // owned by the control goroutine
+}
+
+type shard struct {
+	taken     time.Time
+	inherited bool
+	levels    map[string]Level
+	buckets   map[string]*bucket
+}
+
+type bucket struct {
+	*wharfbucket.Bucket
+	config uint64
+}
+
+// NewOwner returns an owner that takes shards when Serve runs.
+func NewOwner(zone string, storage wharfstorage.Storage, member *wharfmember.Member, loop *wharfcontrol.Loop, config func() *wharfsnapshot.Snapshot) *Owner {
+	return &Owner{zone: zone, storage: storage, member: member, loop: loop, config: config, shards: map[int]*shard{}}
+}
+
+// ShardOf returns the quota shard of an organisation.
+func ShardOf(organisation string) int {
+	return int(xxhash.Sum64String(organisation) % ShardCount)
+}
+
+// ShardKey returns the row key of a quota shard.
+func ShardKey(zone string, shard int) string {
+	return fmt.Sprintf("quota/%s/%02d", zone, shard)
+}
+
+// Serve takes and releases shards until ctx ends.
+func (o *Owner) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(ownPeriod)
+	defer ticker.Stop()
+	for {
+		o.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (o *Owner) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ownLimit)
+	defer cancel()
+	view := o.member.View()
+	if !view.InForce(time.Now()) || o.stopped.Load() {
+		return
+	}
+	missing, surplus := o.compare(ctx, view)
+	for _, number := range surplus {
+		o.release(ctx, number)
+	}
+	if len(missing) > 0 {
+		o.takeAll(ctx, view, missing)
+	}
+}
+
+// compare drops what an earlier incarnation owned and returns the shards to take and to release.
+func (o *Owner) compare(ctx context.Context, view *wharfmember.View) (missing, surplus []int) {
+	hosts := view.LiveHosts()
+	_ = o.loop.Do(ctx, func() {
+		if o.epoch != view.Self.Epoch {
+			o.epoch = view.Self.Epoch
+			clear(o.shards)
+		}
+		for number := range ShardCount {
+			wanted := wharfrank.First(ShardKey(o.zone, number), hosts) == view.Self.Host
+			_, owned := o.shards[number]
+			switch {
+			case wanted && !owned:
+				missing = append(missing, number)
+			case owned && !wanted:
+				surplus = append(surplus, number)
+			}
+		}
+	})
+	return missing, surplus
+}
+
+func (o *Owner) takeAll(ctx context.Context, view *wharfmember.View, numbers []int) {
+	rows := map[string]wharfrow.Row{}
+	err := wharfstorage.ScanAll(ctx, o.storage, "quota/"+o.zone+"/", func(row wharfrow.Row) error {
+		rows[row.Key] = row
+		return nil
+	})
+	if err != nil {
+		return
+	}
+	for _, number := range numbers {
+		if err := o.take(ctx, view, number, rows[ShardKey(o.zone, number)]); err != nil {
+			klog.V(1).InfoS("shard not taken", "shard", number, "error", err.Error())
+		}
+	}
+}
+
+// take commits this incarnation as the owner of a shard that is free, or whose owner was reclaimed.
+func (o *Owner) take(ctx context.Context, view *wharfmember.View, number int, row wharfrow.Row) error {
+	var last Shard
+	if row.Version != 0 {
+		if err := json.Unmarshal(row.Value, &last); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	self := view.Self
+	if last.Host != "" && last.Host != self.Host && view.Zone.Holds(last.Host, last.Epoch) {
+		return nil
+	}
+	key := ShardKey(o.zone, number)
+	next := Shard{Host: self.Host, Epoch: self.Epoch, Peer: self.Peer}
+	conditions := []wharfrow.Condition{wharfstorage.At(key, row.Version)}
+	if err := wharfstorage.Commit(ctx, o.storage, conditions, wharfstorage.Put(key, next)); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(o.loop.Do(ctx, func() {
+		if o.epoch != self.Epoch {
+			return
+		}
+		o.shards[number] = &shard{
+			taken:     time.Now(),
+			inherited: row.Version != 0 && !last.Untouched,
+			levels:    last.Levels,
+			buckets:   map[string]*bucket{},
+		}
+	}))
+}
+
+// ReleaseAll gives every shard up, with its levels, before a planned stop.
+func (o *Owner) ReleaseAll(ctx context.Context) {
+	o.stopped.Store(true)
+	var numbers []int
+	_ = o.loop.Do(ctx, func() {
+		for number := range o.shards {
+			numbers = append(numbers, number)
+		}
+	})
+	for _, number := range numbers {
+		o.release(ctx, number)
+	}
+}
+
+// release stops granting first and commits the levels afterwards; a lost commit leaves the shard to a reclaim.
+func (o *Owner) release(ctx context.Context, number int) {
+	var released Shard
+	epoch := uint64(0)
+	_ = o.loop.Do(ctx, func() {
+		if s := o.shards[number]; s != nil {
+			released = s.release(time.Now())
+			epoch = o.epoch
+		}
+		delete(o.shards, number)
+	})
+	if epoch == 0 {
+		return
+	}
+	key := ShardKey(o.zone, number)
+	current, version, err := wharfstorage.Read[Shard](ctx, o.storage, key)
+	if err != nil || current.Epoch != epoch || current.Host != o.member.Host() {
+		return
+	}
+	conditions := []wharfrow.Condition{wharfstorage.At(key, version)}
+	_ = wharfstorage.Commit(ctx, o.storage, conditions, wharfstorage.Put(key, released))
+}
+
+func (s *shard) release(now time.Time) Shard {
+	levels := map[string]Level{}
+	for organisation, level := range s.levels {
+		levels[organisation] = level
+	}
+	for organisation, b := range s.buckets {
+		tokens, outstanding := b.Release(now)
+		levels[organisation] = Level{Tokens: tokens, Outstanding: outstanding}
+	}
+	return Shard{Levels: levels, Untouched: !s.inherited}
+}
+
+// HandleDraw grants tokens of an organisation whose shard this host owns.
+func (o *Owner) HandleDraw(ctx context.Context, request DrawRequest) (DrawReply, error) {
+	var reply DrawReply
+	err := o.loop.Do(ctx, func() {
+		reply = o.draw(request, time.Now())
+	})
+	return reply, trace.Wrap(err)
+}
+
+func (o *Owner) draw(request DrawRequest, now time.Time) DrawReply {
+	s := o.shards[ShardOf(request.Organisation)]
+	view := o.member.View()
+	if s == nil || !view.InForce(now) || view.Self.Epoch != o.epoch {
+		return DrawReply{NotOwner: true}
+	}
+	b := o.bucketOf(s, request.Organisation, now)
+	if b == nil {
+		return DrawReply{Wait: time.Second}
+	}
+	tokens := b.Draw(request.Want, GrantTerm+GrantMargin, now)
+	if tokens > 0 {
+		return DrawReply{Tokens: tokens}
+	}
+	return DrawReply{Wait: b.Wait(now)}
+}
+
+// bucketOf returns the bucket of an organisation, sized by the present configuration, or nil if it has no share here.
+func (o *Owner) bucketOf(s *shard, organisation string, now time.Time) *bucket {
+	config := o.config()
+	if config == nil {
+		return nil
+	}
+	settings := config.Organisations[organisation]
+	if settings == nil || settings.Split[o.zone] == 0 {
+		return nil
+	}
+	rate := settings.Rate * settings.Split[o.zone]
+	burst := settings.Burst * settings.Split[o.zone]
+	b := s.buckets[organisation]
+	if b == nil {
+		b = &bucket{Bucket: s.open(organisation, rate, burst, now), config: config.Version}
+		s.buckets[organisation] = b
+	}
+	if b.config != config.Version {
+		b.Resize(rate, burst, now)
+		b.config = config.Version
+	}
+	return b
+}
+
+func (s *shard) open(organisation string, rate, burst float64, now time.Time) *wharfbucket.Bucket {
+	if level, ok := s.levels[organisation]; ok {
+		return wharfbucket.Restore(rate, burst, level.Tokens, level.Outstanding, s.taken, GrantTerm+GrantMargin)
+	}
+	if s.inherited {
+		return wharfbucket.Inherit(rate, burst, s.taken, GrantTerm+GrantMargin)
+	}
+	return wharfbucket.New(rate, burst, now)
+}
--- /dev/null
+++ b/wharf/coordination/wharfrollout/doc.go
@@ -0,0 +1,2 @@
+// Package wharfrollout brings accepted configurations into force on every host.
+package wharfrollout
--- /dev/null
+++ b/wharf/coordination/wharfrollout/rollout.go
@@ -0,0 +1,413 @@
+package wharfrollout
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/coordination/wharfcontrol"
+	"wagtailwharf.example/wharf/coordination/wharfmember"
+	"wagtailwharf.example/wharf/coordination/wharfstorage"
+	"wagtailwharf.example/wharf/state/wharfconfig"
+	"wagtailwharf.example/wharf/state/wharfdelta"
+	"wagtailwharf.example/wharf/state/wharfrank"
+	"wagtailwharf.example/wharf/state/wharfrow"
+	"wagtailwharf.example/wharf/state/wharfsnapshot"
+	"wagtailwharf.example/wharf/state/wharfzone"
+)
+
+const (
+	currentKey    = "config/current"
+	historyPrefix = "config/history/"
+	readerPeriod  = time.Second
+	othersPeriod  = 30 * time.Second
+	readersAZone  = 2
+	offerTimeout  = time.Second
+	confirmLimit  = 4 * time.Second
+	confirmPeriod = 100 * time.Millisecond
+	pullLimit     = 3 * time.Second
+)
+
+// Sentinel errors of a change of configuration.
+var (
+	// ErrNotSigned says that too few of the named signers have signed the bundle off.
+	ErrNotSigned = errors.New("bundle is not signed off")
+	// ErrStaleParent says that another change was accepted first.
+	ErrStaleParent = errors.New("another configuration was accepted first")
+)
+
+// Options name what a rollout works with.
+type Options struct {
+	Zone    string
+	Signers map[string]ed25519.PublicKey
+	Needed  int // signatures needed
+	Storage wharfstorage.Storage
+	Member  *wharfmember.Member
+	Peers   Peers
+	Loop    *wharfcontrol.Loop
+	Changed func(*wharfsnapshot.Snapshot) // called on the control goroutine after each change
+}
+
+// Rollout brings configurations into force on this host, in growing versions only, and on others.
+type Rollout struct {
+	options  Options
+	snapshot atomic.Pointer[wharfsnapshot.Snapshot]
+	pullMu   sync.Mutex
+	epoch    atomic.Uint64 // incarnation that has caught up with its zone
+}
+
+// New returns a rollout with no configuration.
+func New(options Options) *Rollout {
+	return &Rollout{options: options}
+}
+
+// Snapshot returns the configuration in force, or nil.
+func (r *Rollout) Snapshot() *wharfsnapshot.Snapshot {
+	return r.snapshot.Load()
+}
+
+// CaughtUp reports whether this incarnation has read the configuration since it joined,
+// so that it has every one that was reported in force before.
+func (r *Rollout) CaughtUp() bool {
+	view := r.options.Member.View()
+	return view != nil && r.epoch.Load() == view.Self.Epoch
+}
+
+// Serve pulls configurations until ctx ends: often on two readers of each zone, seldom on the others.
+func (r *Rollout) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(readerPeriod)
+	defer ticker.Stop()
+	last := time.Time{}
+	for {
+		view := r.options.Member.View()
+		if !r.CaughtUp() || r.isReader(view) || time.Since(last) > othersPeriod {
+			last = time.Now()
+			r.pull(ctx, view)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *Rollout) isReader(view *wharfmember.View) bool {
+	if view == nil {
+		return true
+	}
+	order := wharfrank.Order("config-reader", view.LiveHosts())
+	return slices.Contains(order[:min(readersAZone, len(order))], view.Self.Host)
+}
+
+// pull reads the row; a reader passes on what is new to its zone.
+func (r *Rollout) pull(ctx context.Context, view *wharfmember.View) {
+	ctx, cancel := context.WithTimeout(ctx, pullLimit)
+	defer cancel()
+	before := r.Snapshot()
+	current, version, err := wharfstorage.Read[Current](ctx, r.options.Storage, currentKey)
+	if err != nil {
+		return
+	}
+	if version != 0 {
+		if err := r.fetch(ctx, current); err != nil {
+			klog.ErrorS(err, "configuration not read", "version", current.Version)
+			return
+		}
+	}
+	if view == nil {
+		return
+	}
+	r.epoch.Store(view.Self.Epoch)
+	if before != nil && version != 0 && current.Version > before.Version {
+		r.offerAll(ctx, view.Zone.Members, current, before)
+	}
+}
+
+// fetch reads the text of a version that is newer than the one in force.
+func (r *Rollout) fetch(ctx context.Context, current Current) error {
+	r.pullMu.Lock()
+	defer r.pullMu.Unlock()
+	if snapshot := r.Snapshot(); snapshot != nil && snapshot.Version >= current.Version {
+		return nil
+	}
+	text, err := r.options.Storage.GetObject(ctx, objectKey(current.Hash))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(r.install(ctx, current, text))
+}
+
+func objectKey(hash string) string {
+	return "config/" + hash
+}
+
+// install parses apart from the control goroutine and brings the configuration into force on it.
+func (r *Rollout) install(ctx context.Context, current Current, text []byte) error {
+	if wharfconfig.Hash(text) != current.Hash {
+		return trace.Wrap(wharfdelta.ErrMismatch)
+	}
+	bundle, err := wharfconfig.Parse(text)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	next := wharfsnapshot.Build(current.Version, text, bundle)
+	return trace.Wrap(r.options.Loop.Do(ctx, func() {
+		if old := r.Snapshot(); old != nil && old.Version >= next.Version {
+			return
+		}
+		r.snapshot.Store(next)
+		klog.InfoS("configuration in force", "version", next.Version, "hash", next.Hash)
+		if r.options.Changed != nil {
+			r.options.Changed(next)
+		}
+	}))
+}
+
+// HandleOffer takes a configuration in and answers with the version in force.
+func (r *Rollout) HandleOffer(ctx context.Context, request OfferRequest) (OfferReply, error) {
+	snapshot := r.Snapshot()
+	if snapshot == nil || snapshot.Version < request.Current.Version {
+		if err := r.take(ctx, snapshot, request); err != nil {
+			return OfferReply{}, trace.Wrap(err)
+		}
+	}
+	reply := OfferReply{}
+	if snapshot := r.Snapshot(); snapshot != nil {
+		reply.Version = snapshot.Version
+	}
+	return reply, nil
+}
+
+func (r *Rollout) take(ctx context.Context, snapshot *wharfsnapshot.Snapshot, request OfferRequest) error {
+	if snapshot != nil && snapshot.Hash == request.Base {
+		text, err := request.Delta.Apply(snapshot.Text)
+		if err == nil && r.install(ctx, request.Current, text) == nil {
+			return nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullLimit)
+	defer cancel()
+	return trace.Wrap(r.fetch(ctx, request.Current))
+}
+
+// offerAll offers the configuration in force to members at once and returns the hosts that have confirmed it.
+func (r *Rollout) offerAll(ctx context.Context, members []wharfzone.Member, current Current, before *wharfsnapshot.Snapshot) map[string]bool {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	request := OfferRequest{Current: current}
+	if snapshot := r.Snapshot(); before != nil && snapshot.Version == current.Version {
+		request.Base = before.Hash
+		request.Delta = wharfdelta.Between(before.Text, snapshot.Text)
+	}
+	var mu sync.Mutex
+	confirmed := map[string]bool{}
+	var calls sync.WaitGroup
+	for _, member := range members {
+		calls.Go(func() {
+			if !r.offer(ctx, member, request) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			confirmed[memberName(member)] = true
+		})
+	}
+	calls.Wait()
+	return confirmed
+}
+
+func (r *Rollout) offer(ctx context.Context, member wharfzone.Member, request OfferRequest) bool {
+	if member.Host == r.options.Member.Host() {
+		snapshot := r.Snapshot()
+		return snapshot != nil && snapshot.Version >= request.Current.Version
+	}
+	reply, err := r.options.Peers.Offer(ctx, member.Peer, request)
+	return err == nil && reply.Version >= request.Current.Version
+}
+
+func memberName(member wharfzone.Member) string {
+	return fmt.Sprintf("%s#%d", member.Host, member.Epoch)
+}
+
+// Apply commits a signed bundle as the child of the version parent, and reports it in force only when
+// every registered host has confirmed it.
+func (r *Rollout) Apply(ctx context.Context, parent uint64, signed Signed, operator string) (Result, error) {
+	if _, err := wharfconfig.Parse(signed.Text); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	signers, err := r.verify(signed)
+	if err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	current := Current{
+		Version:   parent + 1,
+		Hash:      wharfconfig.Hash(signed.Text),
+		Signers:   signers,
+		AppliedAt: time.Now().UTC(),
+		AppliedBy: operator,
+	}
+	if err := r.commit(ctx, parent, current, signed); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	before := r.Snapshot()
+	if err := r.install(ctx, current, signed.Text); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	return r.confirm(ctx, current, before), nil
+}
+
+func (r *Rollout) verify(signed Signed) ([]string, error) {
+	var signers []string
+	for _, s := range signed.Signatures {
+		key, known := r.options.Signers[s.Signer]
+		if known && ed25519.Verify(key, signed.Text, s.Bytes) && !slices.Contains(signers, s.Signer) {
+			signers = append(signers, s.Signer)
+		}
+	}
+	if len(signers) < r.options.Needed {
+		return nil, trace.Wrap(fmt.Errorf("%w: %d of %d signatures hold", ErrNotSigned, len(signers), r.options.Needed))
+	}
+	return signers, nil
+}
+
+func (r *Rollout) commit(ctx context.Context, parent uint64, current Current, signed Signed) error {
+	present, version, err := wharfstorage.Read[Current](ctx, r.options.Storage, currentKey)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if present.Version != parent {
+		return trace.Wrap(staleParent(parent, present))
+	}
+	if err := r.options.Storage.PutObject(ctx, objectKey(current.Hash), signed.Text); err != nil {
+		return trace.Wrap(err)
+	}
+	conditions := []wharfrow.Condition{wharfstorage.At(currentKey, version)}
+	err = wharfstorage.Commit(ctx, r.options.Storage, conditions,
+		wharfstorage.Put(currentKey, current),
+		wharfstorage.Put(historyKey(current.Version), current))
+	if errors.Is(err, wharfrow.ErrConflict) {
+		present, _, readErr := wharfstorage.Read[Current](ctx, r.options.Storage, currentKey)
+		if readErr != nil {
+			return trace.Wrap(readErr)
+		}
+		return trace.Wrap(staleParent(parent, present))
+	}
+	return trace.Wrap(err)
+}
+
+func staleParent(parent uint64, present Current) error {
+	return fmt.Errorf("%w: the change was made to version %d, but version %d (%.12s, by %s) is in force",
+		ErrStaleParent, parent, present.Version, present.Hash, present.AppliedBy)
+}
+
+func historyKey(version uint64) string {
+	return fmt.Sprintf("%s%012d", historyPrefix, version)
+}
+
+// confirm offers until every registered host has confirmed, or the limit has passed.
+func (r *Rollout) confirm(ctx context.Context, current Current, before *wharfsnapshot.Snapshot) Result {
+	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	result := Result{Version: current.Version, Hash: current.Hash}
+	confirmed := map[string]bool{}
+	for {
+		members, err := r.members(ctx)
+		if err == nil {
+			left := slices.DeleteFunc(members, func(m wharfzone.Member) bool { return confirmed[memberName(m)] })
+			for name := range r.offerAll(ctx, left, current, before) {
+				confirmed[name] = true
+			}
+			result.Unconfirmed = unconfirmed(left, confirmed)
+			result.InForce = len(result.Unconfirmed) == 0
+		}
+		if result.InForce {
+			return result
+		}
+		select {
+		case <-time.After(confirmPeriod):
+		case <-ctx.Done():
+			return result
+		}
+	}
+}
+
+func unconfirmed(members []wharfzone.Member, confirmed map[string]bool) []string {
+	names := []string{}
+	for _, m := range members {
+		if !confirmed[memberName(m)] {
+			names = append(names, m.Host)
+		}
+	}
+	return names
+}
+
+// members returns the registered hosts of all zones.
+func (r *Rollout) members(ctx context.Context) ([]wharfzone.Member, error) {
+	zones, err := wharfmember.Zones(ctx, r.options.Storage)
+	var members []wharfzone.Member
+	for _, z := range zones {
+		members = append(members, z.Members...)
+	}
+	return members, trace.Wrap(err)
+}
+
+// History returns the accepted configurations, oldest first.
+func (r *Rollout) History(ctx context.Context) ([]Current, error) {
+	history := []Current{}
+	err := wharfstorage.ScanAll(ctx, r.options.Storage, historyPrefix, func(row wharfrow.Row) error {
+		var current Current
+		if err := json.Unmarshal(row.Value, &current); err != nil {
+			return trace.Wrap(err)
+		}
+		history = append(history, current)
+		return nil
+	})
+	return history, trace.Wrap(err)
+}
+
+// Status returns, by host, the version that each registered host confirms, 0 for no answer.
+func (r *Rollout) Status(ctx context.Context) (map[string]uint64, error) {
+	members, err := r.members(ctx)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	versions := map[string]uint64{}
+	for _, member := range members {
+		calls.Go(func() {
+			version := r.versionOf(ctx, member)
+			mu.Lock()
+			defer mu.Unlock()
+			versions[member.Host] = version
+		})
+	}
+	calls.Wait()
+	return versions, nil
+}
+
+func (r *Rollout) versionOf(ctx context.Context, member wharfzone.Member) uint64 {
+	if member.Host == r.options.Member.Host() {
+		if snapshot := r.Snapshot(); snapshot != nil {
+			return snapshot.Version
+		}
+		return 0
+	}
+	reply, err := r.options.Peers.Offer(ctx, member.Peer, OfferRequest{})
+	if err != nil {
+		return 0
+	}
+	return reply.Version
+}
--- /dev/null
+++ b/wharf/protocol/wharfevents/doc.go
@@ -0,0 +1,2 @@
+// Package wharfevents reads streams of server-sent events.
+package wharfevents
--- /dev/null
+++ b/wharf/protocol/wharfevents/reader.go
@@ -0,0 +1,88 @@
+package wharfevents
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"github.com/gravitational/trace"
+)
+
+// MaxEventBytes is the longest line of an event.
+const MaxEventBytes = 1 << 20
+
+// Sentinel errors of a stream.
+var (
+	// ErrTooLong says that a line is longer than MaxEventBytes.
+	ErrTooLong = errors.New("event is too long")
+	// ErrCutShort says that the stream ended before its [DONE] event.
+	ErrCutShort = errors.New("stream was cut short")
+)
+
+var (
+	dataField = []byte("data:")
+	done      = []byte("[DONE]")
+)
+
+// Reader reads the data of events, as the WHATWG HTML standard defines them; other fields are passed over.
+type Reader struct {
+	lines *bufio.Reader
+}
+
+// NewReader returns a reader of a stream.
+func NewReader(stream io.Reader) *Reader {
+	return &Reader{lines: bufio.NewReader(stream)}
+}
+
+// Next returns the data of the next event, or io.EOF after [DONE], or ErrCutShort if the stream ends without it.
+func (r *Reader) Next() ([]byte, error) {
+	var data []byte
+	for {
+		line, err := r.line()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if len(line) == 0 {
+			if data == nil {
+				continue
+			}
+			if bytes.Equal(data, done) {
+				return nil, io.EOF
+			}
+			return data, nil
+		}
+		field, found := bytes.CutPrefix(line, dataField)
+		if !found {
+			continue
+		}
+		field = bytes.TrimPrefix(field, []byte(" "))
+		if data != nil {
+			data = append(data, '\n')
+		}
+		data = append(data, field...)
+		if len(data) > MaxEventBytes {
+			return nil, trace.Wrap(ErrTooLong)
+		}
+	}
+}
+
+func (r *Reader) line() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.lines.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > MaxEventBytes {
+			return nil, ErrTooLong
+		}
+		switch {
+		case err == nil:
+			return bytes.TrimRight(line, "\r\n"), nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF):
+			return nil, ErrCutShort
+		}
+		return nil, err
+	}
+}
--- /dev/null
+++ b/wharf/protocol/wharfpeer/doc.go
@@ -0,0 +1,2 @@
+// Package wharfpeer holds the net/rpc methods between daemons.
+package wharfpeer
--- /dev/null
+++ b/wharf/protocol/wharfrefusal/doc.go
@@ -0,0 +1,2 @@
+// Package wharfrefusal holds refusals that say whether the work ran.
+package wharfrefusal
--- /dev/null
+++ b/wharf/protocol/wharfsettings/doc.go
@@ -0,0 +1,2 @@
+// Package wharfsettings holds the settings file of the daemon.
+package wharfsettings
--- /dev/null
+++ b/wharf/protocol/wharfsettings/settings.go
@@ -0,0 +1,213 @@
+package wharfsettings
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/gravitational/trace"
+)
+
+// ErrInvalid says that a settings file breaks a rule.
+var ErrInvalid = errors.New("invalid settings")
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Host      string         `toml:"host"`
+	Zone      string         `toml:"availability-zone"`
+	Callers   netip.AddrPort `toml:"callers"`
+	Peers     netip.AddrPort `toml:"peers"`
+	Operators netip.AddrPort `toml:"operators"`
+	Platform  string         `toml:"platform"`
+	LogLevel  int            `toml:"log-level"`
+	Lease     Lease          `toml:"lease"`
+	Secrets   Secrets        `toml:"secrets"`
+	Signing   Signing        `toml:"signing"`
+	Limits    Limits         `toml:"limits"`
+	Batch     Batch          `toml:"batch"`
+	Drain     Drain          `toml:"drain"`
+}
+
+// Lease holds the times of the host lease.
+type Lease struct {
+	Term   Duration `toml:"term"`
+	Margin Duration `toml:"margin"`
+}
+
+// Secrets names the files that hold the deployment's tokens.
+type Secrets struct {
+	PeerTokenFile     string `toml:"peer-token-file"`
+	OperatorTokenFile string `toml:"operator-token-file"`
+}
+
+// Signing names those who sign configurations off, with their Ed25519 public keys in base64.
+type Signing struct {
+	Needed  int               `toml:"signatures-needed"`
+	Signers map[string]string `toml:"signers"`
+}
+
+// Limits bound callers' requests.
+type Limits struct {
+	MaxBodyBytes   int64    `toml:"max-body-bytes"`
+	MaxUploadBytes int64    `toml:"max-upload-bytes"`
+	Patience       Duration `toml:"patience"`
+	FirstByte      Duration `toml:"first-byte"`
+	Idle           Duration `toml:"idle"`
+	BodyTime       Duration `toml:"body-time"`
+	Attempts       int      `toml:"attempts"`
+	RetryShare     float64  `toml:"retry-share"`
+}
+
+// Batch holds what batch leaves to online requests.
+type Batch struct {
+	Headroom float64 `toml:"headroom"`
+}
+
+// Drain holds the times of a planned stop.
+type Drain struct {
+	Grace Duration `toml:"grace"`
+	Limit Duration `toml:"limit"`
+}
+
+// Duration is a time.Duration written as text, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	*d = Duration(value)
+	return err
+}
+
+// Default returns settings with every default filled in.
+func Default() Settings {
+	return Settings{
+		Lease: Lease{Term: Duration(4 * time.Second), Margin: Duration(250 * time.Millisecond)},
+		Limits: Limits{
+			MaxBodyBytes:   4 << 20,
+			MaxUploadBytes: 200 << 20,
+			Patience:       Duration(time.Second),
+			FirstByte:      Duration(60 * time.Second),
+			Idle:           Duration(15 * time.Second),
+			BodyTime:       Duration(30 * time.Second),
+			Attempts:       3,
+			RetryShare:     0.1,
+		},
+		Batch: Batch{Headroom: 0.25},
+		Drain: Drain{Grace: Duration(2 * time.Second), Limit: Duration(60 * time.Second)},
+	}
+}
+
+// Read reads and checks a settings file.
+func Read(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, trace.Wrap(err)
+	}
+	return Parse(text)
+}
+
+// Parse reads settings; unknown keys are errors that name their line.
+func Parse(text []byte) (Settings, error) {
+	settings := Default()
+	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&settings)
+	if err != nil {
+		return settings, trace.Wrap(fmt.Errorf("%w: %v", ErrInvalid, err))
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return settings, trace.Wrap(fmt.Errorf("%w: unknown key %q on line %d", ErrInvalid, unknown[0].String(), lineOf(text, unknown[0])))
+	}
+	return settings, trace.Wrap(settings.Validate())
+}
+
+func lineOf(text []byte, key toml.Key) int {
+	name := key[len(key)-1]
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.HasPrefix(strings.TrimLeft(line, " \t["), name) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// Validate returns all broken rules at once, joined under ErrInvalid.
+func (s *Settings) Validate() error {
+	var problems []error
+	require := func(holds bool, format string, args ...any) {
+		if !holds {
+			problems = append(problems, fmt.Errorf(format, args...))
+		}
+	}
+	require(s.Host != "" && !strings.ContainsAny(s.Host, "/ "), "host must be a name without slashes or blanks")
+	require(s.Zone != "" && !strings.ContainsAny(s.Zone, "/ "), "availability-zone must be a name without slashes or blanks")
+	require(s.Callers.IsValid(), "callers must be an address and a port")
+	require(s.Peers.IsValid() && !s.Peers.Addr().IsUnspecified(), "peers must be an address that other hosts can call and a port")
+	require(s.Operators.IsValid(), "operators must be an address and a port")
+	base, err := url.Parse(s.Platform)
+	require(err == nil && base.Scheme != "" && base.Host != "", "platform must be an absolute url")
+	require(s.Secrets.PeerTokenFile != "", "secrets.peer-token-file is missing")
+	require(s.Secrets.OperatorTokenFile != "", "secrets.operator-token-file is missing")
+	s.validateTimes(require)
+	s.validateLimits(require)
+	_, err = s.SignerKeys()
+	require(err == nil, "signing.signers: %v", err)
+	require(s.Signing.Needed >= 1 && s.Signing.Needed <= len(s.Signing.Signers), "signing.signatures-needed must be from 1 to the number of signers")
+	if len(problems) == 0 {
+		return nil
+	}
+	return trace.Wrap(fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...)))
+}
+
+func (s *Settings) validateTimes(require func(bool, string, ...any)) {
+	const shortest = 500 * time.Millisecond
+	require(time.Duration(s.Lease.Term) >= shortest, "lease.term must be at least %v", shortest)
+	require(s.Lease.Margin > 0 && s.Lease.Margin < s.Lease.Term, "lease.margin must be above 0 and below lease.term")
+	require(s.Limits.Patience > 0, "limits.patience must be above 0")
+	require(s.Limits.FirstByte > 0, "limits.first-byte must be above 0")
+	require(s.Limits.Idle > 0, "limits.idle must be above 0")
+	require(s.Limits.BodyTime > 0, "limits.body-time must be above 0")
+	require(s.Drain.Grace >= 0 && s.Drain.Limit > 0, "drain.grace must not be negative and drain.limit must be above 0")
+}
+
+func (s *Settings) validateLimits(require func(bool, string, ...any)) {
+	const mostAttempts = 10
+	require(s.Limits.MaxBodyBytes > 0, "limits.max-body-bytes must be above 0")
+	require(s.Limits.MaxUploadBytes > 0, "limits.max-upload-bytes must be above 0")
+	require(s.Limits.Attempts >= 1 && s.Limits.Attempts <= mostAttempts, "limits.attempts must be from 1 to %d", mostAttempts)
+	require(s.Limits.RetryShare >= 0 && s.Limits.RetryShare <= 1, "limits.retry-share must be from 0 to 1")
+	require(s.Batch.Headroom >= 0 && s.Batch.Headroom < 1, "batch.headroom must be at least 0 and below 1")
+}
+
+// SignerKeys returns the public keys of the signers by name.
+func (s *Settings) SignerKeys() (map[string]ed25519.PublicKey, error) {
+	keys := map[string]ed25519.PublicKey{}
+	for name, text := range s.Signing.Signers {
+		key, err := base64.StdEncoding.DecodeString(text)
+		if err != nil || len(key) != ed25519.PublicKeySize {
+			return nil, trace.Wrap(fmt.Errorf("%w: key of signer %q is not an Ed25519 public key in base64", ErrInvalid, name))
+		}
+		keys[name] = key
+	}
+	return keys, nil
+}
+
+// Token reads a token file, whose surrounding blanks do not count.
+func Token(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" || strings.ContainsAny(token, "\n ") {
+		return "", trace.Wrap(fmt.Errorf("%w: %s must hold one token", ErrInvalid, path))
+	}
+	return token, nil
+}
--- /dev/null
+++ b/wharf/state/wharfbucket/bucket.go
@@ -0,0 +1,110 @@
+package wharfbucket
+
+import "time"
+
+// Bucket is a token bucket whose outstanding grants count against its burst until they expire,
+// so that in every window admitted tokens stay within burst + rate × window.
+type Bucket struct {
+	rate        float64
+	burst       float64
+	level       float64
+	outstanding float64
+	updated     time.Time
+	grants      []grant
+	closedUntil time.Time
+}
+
+type grant struct {
+	tokens  float64
+	expires time.Time
+}
+
+// New returns a full bucket of rate tokens a second and burst tokens.
+func New(rate, burst float64, now time.Time) *Bucket {
+	return &Bucket{rate: rate, burst: burst, level: burst, updated: now}
+}
+
+// Inherit returns the bucket of a new owner: it is empty and grants nothing until hold has passed,
+// when no grant of the earlier owner can be spent any more.
+func Inherit(rate, burst float64, now time.Time, hold time.Duration) *Bucket {
+	return &Bucket{rate: rate, burst: burst, updated: now.Add(hold), closedUntil: now.Add(hold)}
+}
+
+// Restore returns a bucket that its earlier owner has released with level and outstanding tokens.
+func Restore(rate, burst, level, outstanding float64, now time.Time, hold time.Duration) *Bucket {
+	b := &Bucket{rate: rate, burst: burst, updated: now, outstanding: outstanding}
+	b.level = min(level, max(0, burst-outstanding))
+	b.grants = []grant{{tokens: outstanding, expires: now.Add(hold)}}
+	return b
+}
+
+// Release returns the level and the outstanding tokens for the next owner.
+func (b *Bucket) Release(now time.Time) (level, outstanding float64) {
+	b.advance(now)
+	if now.Before(b.closedUntil) {
+		return 0, b.burst
+	}
+	return b.level, b.outstanding
+}
+
+// Resize changes rate and burst; the level never grows by it.
+func (b *Bucket) Resize(rate, burst float64, now time.Time) {
+	b.advance(now)
+	b.rate = rate
+	b.burst = burst
+	b.level = min(b.level, max(0, burst-b.outstanding))
+}
+
+// Draw takes up to want whole tokens that may be spent until term from now, and returns how many.
+func (b *Bucket) Draw(want int, term time.Duration, now time.Time) int {
+	b.advance(now)
+	if now.Before(b.closedUntil) || want <= 0 {
+		return 0
+	}
+	tokens := min(want, int(b.level))
+	if tokens <= 0 {
+		return 0
+	}
+	b.level -= float64(tokens)
+	b.outstanding += float64(tokens)
+	b.grants = append(b.grants, grant{tokens: float64(tokens), expires: now.Add(term)})
+	return tokens
+}
+
+// Wait returns how long until a whole token can be drawn.
+func (b *Bucket) Wait(now time.Time) time.Duration {
+	b.advance(now)
+	if now.Before(b.closedUntil) {
+		return b.closedUntil.Sub(now)
+	}
+	if b.level >= 1 {
+		return 0
+	}
+	return time.Duration((1 - b.level) / b.rate * float64(time.Second))
+}
+
+// Level returns the tokens that could be drawn now.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.advance(now)
+	return b.level
+}
+
+// advance refills in steps, one at each expiry, since every expiry makes room for more.
+func (b *Bucket) advance(now time.Time) {
+	for len(b.grants) > 0 && !b.grants[0].expires.After(now) {
+		expired := b.grants[0]
+		b.refill(expired.expires)
+		b.outstanding -= expired.tokens
+		b.grants = b.grants[1:]
+	}
+	b.refill(now)
+}
+
+func (b *Bucket) refill(now time.Time) {
+	if !now.After(b.updated) {
+		return
+	}
+	room := max(0, b.burst-b.outstanding)
+	b.level = min(room, b.level+b.rate*now.Sub(b.updated).Seconds())
+	b.updated = now
+}
--- /dev/null
+++ b/wharf/state/wharfbudget/doc.go
@@ -0,0 +1,2 @@
+// Package wharfbudget holds the retry budget of a daemon.
+package wharfbudget
--- /dev/null
+++ b/wharf/state/wharfdelta/doc.go
@@ -0,0 +1,2 @@
+// Package wharfdelta holds the difference between two texts that mostly agree.
+package wharfdelta
--- /dev/null
+++ b/wharf/state/wharfgrant/doc.go
@@ -0,0 +1,2 @@
+// Package wharfgrant holds the tokens that a daemon has drawn and not yet spent.
+package wharfgrant
--- /dev/null
+++ b/wharf/state/wharfjob/doc.go
@@ -0,0 +1,2 @@
+// Package wharfjob holds the rows of batch jobs and the plan of their chunks.
+package wharfjob
--- /dev/null
+++ b/wharf/state/wharfpermit/doc.go
@@ -0,0 +1,2 @@
+// Package wharfpermit decides how many batch requests may run on an endpoint beside its online requests.
+package wharfpermit
--- /dev/null
+++ b/wharf/state/wharfpick/doc.go
@@ -0,0 +1,2 @@
+// Package wharfpick chooses the endpoint of a request.
+package wharfpick
--- /dev/null
+++ b/wharf/state/wharfpoison/doc.go
@@ -0,0 +1,2 @@
+// Package wharfpoison holds the ledger of requests that crash endpoints.
+package wharfpoison
--- /dev/null
+++ b/wharf/state/wharfqueue/doc.go
@@ -0,0 +1,2 @@
+// Package wharfqueue holds a queue that shares service between organisations by deficit round robin.
+package wharfqueue
--- /dev/null
+++ b/wharf/state/wharfrank/doc.go
@@ -0,0 +1,2 @@
+// Package wharfrank ranks hosts for a key by rendezvous hashing.
+package wharfrank
--- /dev/null
+++ b/wharf/state/wharfsnapshot/doc.go
@@ -0,0 +1,2 @@
+// Package wharfsnapshot holds the immutable picture of a configuration that traffic reads.
+package wharfsnapshot
--- /dev/null
+++ b/wharf/state/wharfzone/doc.go
@@ -0,0 +1,2 @@
+// Package wharfzone holds the membership row of an availability zone.
+package wharfzone
--- /dev/null
+++ b/wharf/transport/wharfdial/doc.go
@@ -0,0 +1,2 @@
+// Package wharfdial holds the connections between daemons.
+package wharfdial
--- /dev/null
+++ b/wharf/transport/wharfdial/pool.go
@@ -0,0 +1,243 @@
+package wharfdial
+
+import (
+	"bufio"
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	dialTimeout      = 500 * time.Millisecond
+	handshakeTimeout = 2 * time.Second
+	greeting         = "wharf-peer/1 "
+	accepted         = "ok\n"
+	maxTokenBytes    = 512
+)
+
+// ErrNoReply says that a peer did not answer in time, or that its connection broke.
+var ErrNoReply = errors.New("peer did not answer")
+
+// Pool holds one connection to each daemon that is called; a connection on which a call
+// has timed out is replaced, since it may have gone silent for good.
+type Pool struct {
+	token  string
+	from   netip.Addr
+	mu     sync.Mutex
+	conns  map[netip.AddrPort]*conn
+	closed bool
+	// BytesIn and BytesOut count what is read from and written to peers.
+	BytesIn  atomic.Int64
+	BytesOut atomic.Int64
+	// Calls counts the calls made.
+	Calls atomic.Int64
+}
+
+type conn struct {
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// NewPool returns a pool that dials from an address and presents the deployment's token.
+func NewPool(token string, from netip.Addr) *Pool {
+	return &Pool{token: token, from: from, conns: map[netip.AddrPort]*conn{}}
+}
+
+// Call calls a method of a peer; errors are the peer's own (rpc.ServerError) or ErrNoReply.
+func (p *Pool) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
+	p.Calls.Add(1)
+	c, err := p.conn(to)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	client, err := c.get(ctx, p, to)
+	if err != nil {
+		return trace.Wrap(fmt.Errorf("%w: %v", ErrNoReply, err))
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return trace.Wrap(c.check(client, call.Error))
+	case <-ctx.Done():
+		c.drop(client)
+		return trace.Wrap(fmt.Errorf("%w: %v", ErrNoReply, ctx.Err()))
+	}
+}
+
+func (p *Pool) conn(to netip.AddrPort) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrNoReply
+	}
+	c := p.conns[to]
+	if c == nil {
+		c = &conn{}
+		p.conns[to] = c
+	}
+	return c, nil
+}
+
+// Close closes all connections; later calls fail.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.conns {
+		c.mu.Lock()
+		if c.client != nil {
+			_ = c.client.Close()
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *conn) get(ctx context.Context, p *Pool, to netip.AddrPort) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.client != nil {
+		return c.client, nil
+	}
+	client, err := p.dial(ctx, to)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c.client = client
+	return client, nil
+}
+
+func (c *conn) check(client *rpc.Client, err error) error {
+	if err == nil {
+		return nil
+	}
+	var own rpc.ServerError
+	if errors.As(err, &own) {
+		return own
+	}
+	c.drop(client)
+	return fmt.Errorf("%w: %v", ErrNoReply, err)
+}
+
+func (c *conn) drop(client *rpc.Client) {
+	c.mu.Lock()
+	if c.client == client {
+		c.client = nil
+	}
+	c.mu.Unlock()
+	_ = client.Close()
+}
+
+func (p *Pool) dial(ctx context.Context, to netip.AddrPort) (*rpc.Client, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if p.from.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.from.AsSlice()}
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := p.greet(raw); err != nil {
+		_ = raw.Close()
+		return nil, trace.Wrap(err)
+	}
+	return rpc.NewClient(&countedConn{Conn: raw, in: &p.BytesIn, out: &p.BytesOut}), nil
+}
+
+func (p *Pool) greet(raw net.Conn) error {
+	if err := raw.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return trace.Wrap(err)
+	}
+	if _, err := io.WriteString(raw, greeting+p.token+"\n"); err != nil {
+		return trace.Wrap(err)
+	}
+	answer := make([]byte, len(accepted))
+	if _, err := io.ReadFull(raw, answer); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(raw.SetDeadline(time.Time{}))
+}
+
+// Serve accepts connections from daemons that present the token, until ctx ends.
+func (p *Pool) Serve(ctx context.Context, listener net.Listener, server *rpc.Server) error {
+	var open sync.WaitGroup
+	defer open.Wait()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return trace.Wrap(err)
+		}
+		open.Go(func() { p.serveConn(ctx, raw, server) })
+	}
+}
+
+func (p *Pool) serveConn(ctx context.Context, raw net.Conn, server *rpc.Server) {
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	defer func() { _ = raw.Close() }()
+	reader, ok := p.admit(raw)
+	if !ok {
+		return
+	}
+	server.ServeConn(&countedConn{Conn: raw, reader: reader, in: &p.BytesIn, out: &p.BytesOut})
+}
+
+func (p *Pool) admit(raw net.Conn) (io.Reader, bool) {
+	if err := raw.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, false
+	}
+	reader := bufio.NewReaderSize(raw, maxTokenBytes)
+	line, err := reader.ReadSlice('\n')
+	if err != nil {
+		return nil, false
+	}
+	token, found := strings.CutPrefix(strings.TrimSuffix(string(line), "\n"), greeting)
+	if !found || subtle.ConstantTimeCompare([]byte(token), []byte(p.token)) != 1 {
+		return nil, false
+	}
+	if _, err := io.WriteString(raw, accepted); err != nil {
+		return nil, false
+	}
+	return reader, raw.SetDeadline(time.Time{}) == nil
+}
+
+type countedConn struct {
+	net.Conn
+	reader  io.Reader
+	in, out *atomic.Int64
+}
+
+// Read reads from the buffered reader of the handshake, if any, and counts the bytes.
+func (c *countedConn) Read(b []byte) (int, error) {
+	var n int
+	var err error
+	if c.reader != nil {
+		n, err = c.reader.Read(b)
+	} else {
+		n, err = c.Conn.Read(b)
+	}
+	c.in.Add(int64(n))
+	return n, err
+}
+
+// Write writes to the connection and counts the bytes.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/wharf/transport/wharfengine/doc.go
@@ -0,0 +1,2 @@
+// Package wharfengine sends requests to endpoints and checks their answers.
+package wharfengine
--- /dev/null
+++ b/wharf/transport/wharfentry/batches.go
@@ -0,0 +1,299 @@
+package wharfentry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wagtailwharf.example/wharf/coordination/wharfjobs"
+	"wagtailwharf.example/wharf/protocol/wharfapi"
+	"wagtailwharf.example/wharf/protocol/wharfrefusal"
+	"wagtailwharf.example/wharf/state/wharfjob"
+)
+
+const (
+	outputPrefix = "file-output-"
+	errorPrefix  = "file-error-"
+	listDefault  = 20
+	listMost     = 100
+	formMemory   = 1 << 20
+)
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type fileObject struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int64  `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+	Status    string `json:"status"`
+}
+
+type batchRequest struct {
+	InputFileID string            `json:"input_file_id"`
+	Endpoint    string            `json:"endpoint"`
+	Window      string            `json:"completion_window"`
+	Metadata    map[string]string `json:"metadata"`
+}
+
+type batchObject struct {
+	ID            string            `json:"id"`
+	Object        string            `json:"object"`
+	Endpoint      string            `json:"endpoint"`
+	InputFileID   string            `json:"input_file_id"`
+	Window        string            `json:"completion_window"`
+	Status        string            `json:"status"`
+	OutputFileID  *string           `json:"output_file_id"`
+	ErrorFileID   *string           `json:"error_file_id"`
+	CreatedAt     int64             `json:"created_at"`
+	ExpiresAt     int64             `json:"expires_at"`
+	CompletedAt   *int64            `json:"completed_at"`
+	CancelledAt   *int64            `json:"cancelled_at"`
+	RequestCounts requestCounts     `json:"request_counts"`
+	Metadata      map[string]string `json:"metadata"`
+}
+
+type requestCounts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+func (s *Server) upload(w http.ResponseWriter, r *keyed) error {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.options.Limits.BodyTime * 10))
+	r.Body = http.MaxBytesReader(w, r.Body, s.options.Limits.MaxUpload)
+	reader, err := r.MultipartReader()
+	if err != nil {
+		return wharfrefusal.New(http.StatusBadRequest, "bad-input", "send the file as multipart/form-data with the fields purpose and file")
+	}
+	purpose, name, data, err := readForm(reader)
+	if err != nil {
+		return err
+	}
+	if purpose != "batch" || data == nil {
+		return wharfrefusal.New(http.StatusBadRequest, "bad-input", "the form needs purpose=batch and a file")
+	}
+	if holdsKey(r.token, data, r.Request) {
+		return errKeyInside
+	}
+	file, err := s.options.Jobs.Upload(r.Context(), r.organisation.Name, name, r.Header.Get(idempotencyHeader), data)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, describeFile(&file))
+}
+
+func readForm(reader *multipart.Reader) (purpose, name string, data []byte, err error) {
+	for {
+		part, err := reader.NextPart()
+		if errors.Is(err, io.EOF) {
+			return purpose, name, data, nil
+		}
+		if err != nil {
+			return "", "", nil, formRefusal(err)
+		}
+		switch part.FormName() {
+		case "purpose":
+			text, err := io.ReadAll(io.LimitReader(part, formMemory))
+			if err != nil {
+				return "", "", nil, formRefusal(err)
+			}
+			purpose = string(text)
+		case "file":
+			name = part.FileName()
+			data, err = io.ReadAll(part)
+			if err != nil {
+				return "", "", nil, formRefusal(err)
+			}
+		}
+	}
+}
+
+func formRefusal(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return errTooLarge
+	}
+	return wharfrefusal.New(http.StatusBadRequest, "bad-input", "the form is malformed or was cut short")
+}
+
+func describeFile(file *wharfjob.File) fileObject {
+	return fileObject{
+		ID:        file.ID,
+		Object:    "file",
+		Bytes:     file.Bytes,
+		CreatedAt: file.CreatedAt.Unix(),
+		Filename:  file.Name,
+		Purpose:   "batch",
+		Status:    "processed",
+	}
+}
+
+// results returns the job whose output or error file an id names.
+func results(id string) (job string, failed, ok bool) {
+	if job, ok := strings.CutPrefix(id, outputPrefix); ok {
+		return job, false, true
+	}
+	if job, ok := strings.CutPrefix(id, errorPrefix); ok {
+		return job, true, true
+	}
+	return "", false, false
+}
+
+func (s *Server) file(w http.ResponseWriter, r *keyed) error {
+	id := r.PathValue("id")
+	if jobID, _, ok := results(id); ok {
+		job, err := s.options.Jobs.Get(r.Context(), r.organisation.Name, jobID)
+		if err != nil {
+			return err
+		}
+		return writeJSON(w, fileObject{ID: id, Object: "file", CreatedAt: job.CreatedAt.Unix(), Filename: id + ".jsonl", Purpose: "batch_output", Status: "processed"})
+	}
+	file, err := s.options.Jobs.File(r.Context(), r.organisation.Name, id)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, describeFile(&file))
+}
+
+func (s *Server) content(w http.ResponseWriter, r *keyed) error {
+	id := r.PathValue("id")
+	var data bytes.Buffer
+	if jobID, failed, ok := results(id); ok {
+		if err := s.options.Jobs.Results(r.Context(), r.organisation.Name, jobID, failed, &data); err != nil {
+			return err
+		}
+		return writeLines(w, &data)
+	}
+	file, err := s.options.Jobs.File(r.Context(), r.organisation.Name, id)
+	if err != nil {
+		return err
+	}
+	if err := s.options.Jobs.Content(r.Context(), file, &data); err != nil {
+		return err
+	}
+	return writeLines(w, &data)
+}
+
+// writeLines answers only once all lines were read, so that no answer is cut short by the store.
+func writeLines(w http.ResponseWriter, data *bytes.Buffer) error {
+	w.Header().Set("Content-Type", "application/jsonl")
+	w.Header().Set("Content-Length", fmt.Sprint(data.Len()))
+	_, _ = data.WriteTo(w)
+	return nil
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *keyed) error {
+	body, err := readBody(r.Request, r.token, s.options.Limits.MaxBody)
+	if err != nil {
+		return err
+	}
+	var request batchRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return fmt.Errorf("%w: %v", wharfapi.ErrMalformed, err)
+	}
+	job, err := s.options.Jobs.Submit(r.Context(), wharfjobs.Request{
+		Organisation:   r.organisation.Name,
+		FileID:         request.InputFileID,
+		Path:           request.Endpoint,
+		Window:         request.Window,
+		Metadata:       request.Metadata,
+		IdempotencyKey: r.Header.Get(idempotencyHeader),
+	})
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, describeJob(&job))
+}
+
+func (s *Server) batch(w http.ResponseWriter, r *keyed) error {
+	job, err := s.options.Jobs.Get(r.Context(), r.organisation.Name, r.PathValue("id"))
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, describeJob(&job))
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *keyed) error {
+	job, err := s.options.Jobs.Cancel(r.Context(), r.organisation.Name, r.PathValue("id"))
+	if err != nil {
+		return err
+	}
+	s.options.StopJob(job.ID)
+	return writeJSON(w, describeJob(&job))
+}
+
+func (s *Server) list(w http.ResponseWriter, r *keyed) error {
+	limit := listDefault
+	if text := r.URL.Query().Get("limit"); text != "" {
+		number, err := strconv.Atoi(text)
+		if err != nil || number < 1 || number > listMost {
+			return wharfrefusal.New(http.StatusBadRequest, "bad-input", fmt.Sprintf("limit must be from 1 to %d", listMost))
+		}
+		limit = number
+	}
+	jobs, err := s.options.Jobs.List(r.Context(), r.organisation.Name, r.URL.Query().Get("after"), limit+1)
+	if err != nil {
+		return err
+	}
+	page := batchList{Object: "list", Data: []batchObject{}, HasMore: len(jobs) > limit}
+	for _, job := range jobs[:min(len(jobs), limit)] {
+		page.Data = append(page.Data, describeJob(&job))
+	}
+	return writeJSON(w, page)
+}
+
+type batchList struct {
+	Object  string        `json:"object"`
+	Data    []batchObject `json:"data"`
+	HasMore bool          `json:"has_more"`
+}
+
+func describeJob(job *wharfjob.Job) batchObject {
+	described := batchObject{
+		ID:            job.ID,
+		Object:        "batch",
+		Endpoint:      job.Path,
+		InputFileID:   job.FileID,
+		Window:        job.Window,
+		Status:        job.State,
+		CreatedAt:     job.CreatedAt.Unix(),
+		ExpiresAt:     job.Deadline.Unix(),
+		RequestCounts: requestCounts{Total: job.Items, Completed: job.Completed, Failed: job.Failed},
+		Metadata:      job.Metadata,
+	}
+	if job.State == wharfjob.InProgress {
+		return described
+	}
+	ended := job.EndedAt.Unix()
+	if job.State == wharfjob.Completed {
+		described.CompletedAt = &ended
+	} else {
+		described.CancelledAt = &ended
+	}
+	output := outputPrefix + job.ID
+	described.OutputFileID = &output
+	if job.Failed > 0 {
+		failed := errorPrefix + job.ID
+		described.ErrorFileID = &failed
+	}
+	return described
+}
--- /dev/null
+++ b/wharf/transport/wharfentry/doc.go
@@ -0,0 +1,2 @@
+// Package wharfentry serves the callers' interface.
+package wharfentry
--- /dev/null
+++ b/wharf/transport/wharfentry/generate.go
@@ -0,0 +1,279 @@
+package wharfentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"wagtailwharf.example/wharf/coordination/wharfgate"
+	"wagtailwharf.example/wharf/protocol/wharfapi"
+	"wagtailwharf.example/wharf/protocol/wharfevents"
+	"wagtailwharf.example/wharf/protocol/wharfrefusal"
+	"wagtailwharf.example/wharf/state/wharfconfig"
+	"wagtailwharf.example/wharf/state/wharfpick"
+	"wagtailwharf.example/wharf/state/wharfpoison"
+	"wagtailwharf.example/wharf/transport/wharfengine"
+	"wagtailwharf.example/wharf/transport/wharfmetrics"
+)
+
+const maxAnswer = 32 << 20
+
+// generation is one request for generated text on its way through its tries.
+type generation struct {
+	server      *Server
+	request     *keyed
+	parsed      *wharfapi.Generation
+	body        []byte
+	fingerprint uint64
+	avoid       map[string]bool
+	mayHaveRun  bool
+	wrote       bool // something of the answer was sent to the caller
+	lastToken   time.Time
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *keyed) error {
+	body, err := readBody(r.Request, r.token, s.options.Limits.MaxBody)
+	if err != nil {
+		return err
+	}
+	parsed, err := wharfapi.ParseGeneration(body)
+	if err != nil {
+		return err
+	}
+	service := r.snapshot.Services[parsed.Model]
+	if service == nil || service.Kind != wharfconfig.KindModel {
+		return wharfrefusal.New(http.StatusNotFound, "model-not-found", fmt.Sprintf("there is no model %q; GET /v1/models lists them", parsed.Model))
+	}
+	g := &generation{
+		server:      s,
+		request:     r,
+		parsed:      parsed,
+		body:        body,
+		fingerprint: wharfpoison.Fingerprint(r.organisation.Name, service.Name, body),
+		avoid:       map[string]bool{},
+	}
+	if s.options.Ledger.Convicted(g.fingerprint, time.Now()) {
+		return errPoison
+	}
+	if err := s.admit(r); err != nil {
+		return err
+	}
+	return g.run(w)
+}
+
+// run tries endpoints until one has answered, for as long as nothing was sent to the caller and the budget allows.
+func (g *generation) run(w http.ResponseWriter) error {
+	s := g.server
+	for attempt := 1; ; attempt++ {
+		e, err := g.acquire()
+		if err != nil {
+			return err
+		}
+		err = g.try(w, e)
+		s.options.Gate.Release(e)
+		if err == nil {
+			s.succeed(e, g.request)
+			s.options.Ledger.Clear(g.fingerprint)
+			return nil
+		}
+		if g.wrote {
+			g.abort(w, err)
+		}
+		if final := g.failed(e, err); final != nil {
+			return final
+		}
+		if attempt >= s.options.Limits.Attempts || !s.options.Budget.Retry() {
+			return endpointRefusal(err, g.mayHaveRun)
+		}
+		s.options.Metrics.Count("retries")
+	}
+}
+
+func (s *Server) succeed(e *wharfpick.Endpoint, r *keyed) {
+	e.Succeed()
+	s.options.Budget.Succeed()
+	s.options.Metrics.Record(r.organisation.Name, wharfmetrics.Online, wharfmetrics.Total, time.Since(r.started))
+}
+
+func (g *generation) acquire() (*wharfpick.Endpoint, error) {
+	now := time.Now()
+	e, wait, err := g.server.options.Gate.Acquire(g.request.Context(), wharfgate.Request{
+		Organisation: g.request.organisation.Name,
+		Weight:       g.request.organisation.Weight,
+		Patience:     g.server.options.Limits.Patience,
+		Pick: wharfpick.Request{
+			Service:  g.parsed.Model,
+			Affinity: g.parsed.Affinity(),
+			Avoid:    g.avoid,
+			Alone:    g.server.options.Ledger.Suspect(g.fingerprint, now),
+			Now:      now,
+		},
+	})
+	if err != nil {
+		if g.mayHaveRun {
+			return nil, errEndpoint.After(wait)
+		}
+		return nil, gateRefusal(err, wait)
+	}
+	g.server.options.Metrics.Record(g.request.organisation.Name, wharfmetrics.Online, wharfmetrics.Wait, time.Since(now))
+	return e, nil
+}
+
+// failed records a failed try and returns the final refusal, or nil if another try makes sense.
+func (g *generation) failed(e *wharfpick.Endpoint, err error) error {
+	s := g.server
+	if cause := context.Cause(g.request.Context()); cause != nil {
+		return cause
+	}
+	var refusal *wharfrefusal.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	notSent := errors.Is(err, wharfengine.ErrNotSent)
+	e.Fail(notSent || errors.Is(err, wharfengine.ErrBroken), time.Now())
+	s.options.Metrics.Count("endpoint-faults")
+	g.avoid[e.Config().Name] = true
+	if notSent {
+		return nil
+	}
+	g.mayHaveRun = true
+	if errors.Is(err, wharfengine.ErrBroken) || errors.Is(err, wharfevents.ErrCutShort) {
+		s.options.Strike(g.fingerprint, e.Running() == 0)
+		if s.options.Ledger.Convicted(g.fingerprint, time.Now()) {
+			return errPoison.MayHaveRun()
+		}
+	}
+	return nil
+}
+
+// try sends the request to an endpoint and passes its answer on.
+func (g *generation) try(w http.ResponseWriter, e *wharfpick.Endpoint) error {
+	s := g.server
+	id := g.request.id
+	response, err := s.options.Client.Send(g.request.Context(), wharfengine.Request{
+		Endpoint:  e.Config(),
+		Method:    http.MethodPost,
+		Path:      g.request.URL.Path,
+		Header:    http.Header{"Content-Type": {"application/json"}},
+		Body:      g.body,
+		RequestID: id,
+		FirstByte: s.options.Limits.FirstByte,
+		Idle:      s.options.Limits.Idle,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return g.refusedBy(response)
+	}
+	if g.parsed.Stream {
+		return g.stream(w, response)
+	}
+	return g.whole(w, response)
+}
+
+// refusedBy passes on what an endpoint refuses for the caller's fault; any other refusal is a fault of the endpoint.
+func (g *generation) refusedBy(response *wharfengine.Response) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusInternalServerError || response.StatusCode == http.StatusTooManyRequests {
+		return fmt.Errorf("endpoint answered %d", response.StatusCode)
+	}
+	return wharfrefusal.New(response.StatusCode, "refused-by-model", string(data))
+}
+
+const maxErrorBody = 1 << 16
+
+// whole reads the whole answer and checks that it is complete and the caller's own before any of it is passed on.
+func (g *generation) whole(w http.ResponseWriter, response *wharfengine.Response) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	chunk, err := wharfapi.ParseChunk(data)
+	if err != nil {
+		return wharfevents.ErrCutShort
+	}
+	if !chunk.Answers(g.request.id) {
+		return wharfengine.ErrCrossed
+	}
+	g.token()
+	g.wrote = true
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+	_, _ = w.Write(data)
+	return nil
+}
+
+// stream passes events on as they come, each checked to be the caller's own.
+func (g *generation) stream(w http.ResponseWriter, response *wharfengine.Response) error {
+	reader := wharfevents.NewReader(response.Body)
+	flusher := http.NewResponseController(w)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return g.write(w, flusher, []byte("[DONE]"))
+		}
+		if err != nil {
+			return err
+		}
+		chunk, err := wharfapi.ParseChunk(event)
+		if err != nil || !chunk.Answers(g.request.id) {
+			return wharfengine.ErrCrossed
+		}
+		if chunk.Error != nil {
+			return fmt.Errorf("endpoint sent an error: %s", chunk.Error)
+		}
+		g.token()
+		if err := g.write(w, flusher, event); err != nil {
+			return err
+		}
+	}
+}
+
+func (g *generation) write(w http.ResponseWriter, flusher *http.ResponseController, event []byte) error {
+	if !g.wrote {
+		g.wrote = true
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Cache-Control", "no-store")
+	}
+	line := make([]byte, 0, len("data: ")+len(event)+len("\n\n"))
+	line = append(line, "data: "...)
+	line = append(line, event...)
+	line = append(line, "\n\n"...)
+	if _, err := w.Write(line); err != nil {
+		return context.Canceled
+	}
+	return flusher.Flush()
+}
+
+// token records the time of the first token, or since the one before.
+func (g *generation) token() {
+	now := time.Now()
+	name := g.request.organisation.Name
+	if g.lastToken.IsZero() {
+		g.server.options.Metrics.Record(name, wharfmetrics.Online, wharfmetrics.FirstToken, now.Sub(g.request.started))
+	} else {
+		g.server.options.Metrics.Record(name, wharfmetrics.Online, wharfmetrics.BetweenTokens, now.Sub(g.lastToken))
+	}
+	g.lastToken = now
+}
+
+// abort ends an answer that was begun: an error event, and no end that would make it look whole.
+func (g *generation) abort(w http.ResponseWriter, err error) {
+	refusal := refusalOf(endpointRefusal(err, true))
+	if cause := context.Cause(g.request.Context()); cause != nil {
+		refusal = refusalOf(cause)
+	}
+	g.server.options.Metrics.Count("aborted/" + refusal.Code)
+	if g.parsed.Stream {
+		_ = g.write(w, http.NewResponseController(w), refusal.JSON())
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/wharf/transport/wharfitem/doc.go
@@ -0,0 +1,2 @@
+// Package wharfitem runs the items of batch jobs on endpoints.
+package wharfitem
--- /dev/null
+++ b/wharf/transport/wharfmetrics/doc.go
@@ -0,0 +1,2 @@
+// Package wharfmetrics holds latency histograms by organisation and class.
+package wharfmetrics
--- /dev/null
+++ b/wharf/transport/wharfoperator/doc.go
@@ -0,0 +1,2 @@
+// Package wharfoperator serves the operators' interface.
+package wharfoperator
--- /dev/null
+++ b/wharf/transport/wharfstore/doc.go
@@ -0,0 +1,2 @@
+// Package wharfstore is the client of the platform's table and object store.
+package wharfstore
