--- a/wagtailwharf/root/root.go
+++ b/wagtailwharf/root/root.go
@@ -42,7 +42,7 @@
 
 // New returns the root command.
 func New(f *wharffactory.Factory) *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "wagtailwharf",
 		Usage:                 "run and call a wagtailwharf deployment",
 		EnableShellCompletion: true,
@@ -53,9 +53,6 @@
 		ErrWriter:      f.Streams.Err,
 		Flags:          wharffactory.Flags(),
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return wharfexit.New(wharfexit.Usage, err, "see: wagtailwharf --help")
-		},
 		Commands: []*cli.Command{
 			noun("config", "the configuration bundle", wharfvalidate.New(f), wharfdiff.New(f), wharfsign.New(f), wharfapply.New(f),
 				wharfstatus.New(f), wharfhistory.New(f), wharfexport.New(f), wharfimport.New(f)),
@@ -70,6 +67,18 @@
 			version(f),
 		},
 	}
+	explainUsage(root)
+	return root
+}
+
+// explainUsage has a command and all below it end with the exit code for wrong usage.
+func explainUsage(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, c *cli.Command, err error, _ bool) error {
+		return wharfexit.New(wharfexit.Usage, err, "see: "+c.FullName()+" --help")
+	}
+	for _, below := range c.Commands {
+		explainUsage(below)
+	}
 }
 
 func noun(name, usage string, verbs ...*cli.Command) *cli.Command {
--- /dev/null
+++ b/wagtailwharf/wharfsource/source_test.go
@@ -0,0 +1,59 @@
+package wharfsource
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const text = `[[service]]
+name = "a"
+model-version = "1"
+
+[[service.route]]
+path = "/x"
+
+[[service]]
+name = "b"
+
+[[key]]
+id = "k"
+`
+
+func TestSet(t *testing.T) {
+	changed, err := Set([]byte(text), "service", "a", "model-version", "2")
+	assert.NilError(t, err)
+	assert.Equal(t, string(changed), `[[service]]
+name = "a"
+model-version = "2"
+
+[[service.route]]
+path = "/x"
+
+[[service]]
+name = "b"
+
+[[key]]
+id = "k"
+`)
+	changed, err = Set([]byte(text), "service", "b", "model-version", "3")
+	assert.NilError(t, err)
+	assert.Equal(t, string(changed)[len(text)-len("[[service]]\nname = \"b\"\n\n[[key]]\nid = \"k\"\n"):], `[[service]]
+model-version = "3"
+name = "b"
+
+[[key]]
+id = "k"
+`)
+	_, err = Set([]byte(text), "service", "c", "model-version", "3")
+	assert.Assert(t, errors.Is(err, ErrNoTable))
+}
+
+func TestCut(t *testing.T) {
+	changed, err := Cut([]byte(text), "key", "id", "k")
+	assert.NilError(t, err)
+	assert.Equal(t, string(changed), text[:len(text)-len("\n[[key]]\nid = \"k\"\n")])
+	_, err = Cut([]byte(text), "key", "id", "x")
+	assert.Assert(t, errors.Is(err, ErrNoTable))
+}
--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -78,7 +78,7 @@
 	drain     chan struct{}
 	drainOnce sync.Once
 	leaving   chan struct{}
-	leavers   atomic.Pointer[map[string]bool] // endpoints that the platform's list says are leaving
+	leavers   atomic.Pointer[[]string] // endpoints that the platform's list says are leaving
 	background
 }
 
@@ -147,6 +147,7 @@
 		Member:   d.member,
 		Config:   d.rollout.Snapshot,
 		Executor: wharfitem.New(d.client, d.ledger, d.strike, d.metrics),
+		Peers:    d.peers,
 		Headroom: d.headroom(),
 		Blind:    s.Policies.Batch != wharfsettings.BatchGivesWay,
 	})
@@ -255,6 +256,7 @@
 		Reporter: d.reporter,
 		Runner:   d.runner,
 		Ledger:   d.ledger,
+		Leaving:  d.setLeaving,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/wagtailwharfd/wharfdaemon/spread.go
+++ b/wagtailwharfd/wharfdaemon/spread.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"wagtailwharf.example/wharf/coordination/wharfmember"
 	"wagtailwharf.example/wharf/protocol/wharfpeer"
+	"wagtailwharf.example/wharf/state/wharfrank"
 	"wagtailwharf.example/wharf/state/wharfsnapshot"
 	"wagtailwharf.example/wharf/state/wharfzone"
 )
@@ -15,7 +17,9 @@
 const (
 	spreadLimit     = 2 * time.Second
 	endpointsPeriod = 500 * time.Millisecond
-	hostListPeriod  = 2 * time.Second
+	readerPeriod    = time.Second // between two readings of the platform's list by a reader
+	othersPeriod    = 30 * time.Second
+	readersAZone    = 2
 	leavingState    = "leaving"
 )
 
@@ -72,17 +76,16 @@
 	d.updateEndpoints(snapshot)
 }
 
-// followEndpoints keeps the picker in step with the membership and with the platform's list of leaving hosts.
+// followEndpoints keeps the picker in step with the membership and with the platform's list of leaving hosts. Two
+// readers of each zone read the list and tell the others.
 func (d *Daemon) followEndpoints(ctx context.Context) error {
 	ticker := time.NewTicker(endpointsPeriod)
 	defer ticker.Stop()
 	read := time.Time{}
 	for {
-		if time.Since(read) > hostListPeriod {
+		if period := d.hostListPeriod(); time.Since(read) > period {
 			read = time.Now()
-			if listed, err := d.listLeaving(ctx); err == nil {
-				d.leavers.Store(&listed)
-			}
+			d.readLeaving(ctx)
 		}
 		if snapshot := d.rollout.Snapshot(); snapshot != nil {
 			d.updateEndpoints(snapshot)
@@ -95,18 +98,51 @@
 	}
 }
 
-func (d *Daemon) listLeaving(ctx context.Context) (map[string]bool, error) {
+func (d *Daemon) hostListPeriod() time.Duration {
+	view := d.member.View()
+	if view == nil || slices.Contains(readers(view), view.Self.Host) {
+		return readerPeriod
+	}
+	return othersPeriod
+}
+
+func readers(view *wharfmember.View) []string {
+	order := wharfrank.Order("host-list-reader", view.LiveHosts())
+	return order[:min(readersAZone, len(order))]
+}
+
+// readLeaving reads the list and tells the zone's other daemons if it has changed.
+func (d *Daemon) readLeaving(ctx context.Context) {
 	hosts, err := d.store.Hosts(ctx)
 	if err != nil {
-		return nil, err
+		return
 	}
-	leaving := map[string]bool{}
+	leaving := []string{}
 	for _, h := range hosts {
 		if h.State == leavingState {
-			leaving[h.Name] = true
+			leaving = append(leaving, h.Name)
 		}
 	}
-	return leaving, nil
+	known := d.leavers.Load()
+	d.setLeaving(leaving)
+	view := d.member.View()
+	if view == nil || (known != nil && slices.Equal(*known, leaving)) {
+		return
+	}
+	for _, member := range view.Live {
+		if member.Host == view.Self.Host {
+			continue
+		}
+		d.run(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, spreadLimit)
+			defer cancel()
+			_ = d.peers.Leaving(ctx, member.Peer, leaving)
+		})
+	}
+}
+
+func (d *Daemon) setLeaving(names []string) {
+	d.leavers.Store(&names)
 }
 
 func (d *Daemon) updateEndpoints(snapshot *wharfsnapshot.Snapshot) {
@@ -114,9 +150,11 @@
 	if view := d.member.View(); view != nil {
 		daemons = len(view.Live)
 	}
-	var leaving map[string]bool
-	if listed := d.leavers.Load(); listed != nil {
-		leaving = *listed
+	leaving := map[string]bool{}
+	if names := d.leavers.Load(); names != nil {
+		for _, name := range *names {
+			leaving[name] = true
+		}
 	}
 	d.picker.Update(snapshot.Bundle.Endpoints, leaving, daemons)
 }
--- a/wharf-load/main.go
+++ b/wharf-load/main.go
@@ -14,6 +14,7 @@
 	"wagtailwharf.example/wharf-load/wharfdemo"
 	"wagtailwharf.example/wharf-load/wharfexperiment"
 	"wagtailwharf.example/wharf-load/wharfreport"
+	"wagtailwharf.example/wharf-load/wharfslope"
 	"wagtailwharf.example/wharf-load/wharfstack"
 )
 
@@ -44,6 +45,11 @@
 				&cli.StringFlag{Name: "page", Usage: "`FILE` for the page"},
 				&cli.StringFlag{Name: "results", Usage: "`FILE` for the results as JSON"},
 			}, Action: measure},
+			{Name: "slopes", Usage: "measure how a daemon's control cost grows", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "dimension", Usage: "measure only `NAME`"},
+				&cli.StringFlag{Name: "page", Usage: "`FILE` for the page"},
+				&cli.StringFlag{Name: "results", Usage: "`FILE` for the results as JSON"},
+			}, Action: slopes},
 		},
 	}
 }
@@ -116,3 +122,26 @@
 	}
 	return nil
 }
+
+func slopes(ctx context.Context, c *cli.Command) error {
+	var measured []*wharfslope.Slope
+	for _, dimension := range wharfslope.Dimensions() {
+		if name := c.String("dimension"); name != "" && name != dimension.Name() {
+			continue
+		}
+		slope, err := wharfslope.Measure(ctx, dimension, c.String("bin"), os.Stdout)
+		if err != nil {
+			return err
+		}
+		measured = append(measured, slope)
+	}
+	if path := c.String("results"); path != "" {
+		if err := wharfslope.WriteJSON(path, measured); err != nil {
+			return err
+		}
+	}
+	if path := c.String("page"); path != "" {
+		return wharfslope.WritePage(path, measured)
+	}
+	return nil
+}
--- /dev/null
+++ b/wharf-load/wharfslope/slope.go
@@ -0,0 +1,322 @@
+package wharfslope
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"wagtailwharf.example/wharf-load/wharfcaller"
+	"wagtailwharf.example/wharf-load/wharfstack"
+	"wagtailwharf.example/wharf-standin/wharfplatform"
+)
+
+const (
+	settle        = 3 * time.Second
+	window        = 8 * time.Second
+	ticksASecond  = 100 // of /proc/PID/stat
+	statFields    = 15
+	userField     = 13
+	systemField   = 14
+	kilobyte      = 1024
+	fileMode      = 0o644
+	changesOfTest = 8
+)
+
+// Point is the cost of one daemon at one size, on average over all daemons.
+type Point struct {
+	Size          int     `json:"size"`
+	CorePercent   float64 `json:"core-percent"`
+	Megabytes     float64 `json:"megabytes"`
+	BytesPerSec   float64 `json:"peer-bytes-per-second"`
+	CallsPerSec   float64 `json:"peer-calls-per-second"`
+	PlatformReads float64 `json:"platform-reads-per-second"` // of the whole deployment
+	RowWrites     float64 `json:"platform-row-writes-per-second"`
+}
+
+// Slope is the growth of a daemon's cost with one dimension of the deployment.
+type Slope struct {
+	Dimension string  `json:"dimension"`
+	Command   string  `json:"command"`
+	Points    []Point `json:"points"`
+}
+
+// Dimension is a way in which a deployment grows.
+type Dimension struct {
+	name  string
+	sizes []int
+	shape func(size int, options *wharfstack.Options)
+	work  func(ctx context.Context, s *wharfstack.Stack, size int) error // in the measured window, may be nil
+}
+
+// Name returns the dimension's name.
+func (d *Dimension) Name() string {
+	return d.name
+}
+
+// Dimensions returns all dimensions, in the order of the page.
+func Dimensions() []Dimension {
+	return []Dimension{
+		{name: "daemons-in-a-zone", sizes: []int{2, 4, 8, 16}, shape: func(size int, o *wharfstack.Options) { o.DaemonsPerZone = size }},
+		{name: "organisations", sizes: []int{10, 500, 1000, 2000}, shape: func(size int, o *wharfstack.Options) { o.Organisations = organisations(size) }},
+		{name: "endpoints", sizes: []int{10, 100, 400, 1400}, shape: func(size int, o *wharfstack.Options) { o.ExtraEndpoints = size }},
+		{name: "open-jobs", sizes: []int{10, 100, 300, 600}, shape: func(_ int, o *wharfstack.Options) { o.EnginesPerZone = 0 }, work: submitJobs},
+		{name: "configuration-changes", sizes: []int{0, 2, 4, 8}, shape: func(_ int, o *wharfstack.Options) { o.Organisations = organisations(2000) }, work: applyChanges},
+	}
+}
+
+func organisations(count int) []wharfstack.Organisation {
+	list := make([]wharfstack.Organisation, 0, count)
+	for i := range count {
+		list = append(list, wharfstack.Organisation{Name: fmt.Sprintf("organisation-%d", i), Rate: 20, Burst: 40})
+	}
+	return list
+}
+
+// Measure measures one dimension at all its sizes.
+func Measure(ctx context.Context, d Dimension, bin string, progress io.Writer) (*Slope, error) {
+	slope := &Slope{Dimension: d.name, Command: "bin/wharf-load slopes --dimension " + d.name}
+	for _, size := range d.sizes {
+		point, err := measure(ctx, d, size, bin)
+		if err != nil {
+			return nil, fmt.Errorf("%s at %d: %w", d.name, size, err)
+		}
+		_, _ = fmt.Fprintf(progress, "%s %+v\n", d.name, *point)
+		slope.Points = append(slope.Points, *point)
+	}
+	return slope, nil
+}
+
+func measure(ctx context.Context, d Dimension, size int, bin string) (*Point, error) {
+	dir, err := os.MkdirTemp("", "wharf-slope-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	options := wharfstack.Options{
+		Bin: bin, Dir: dir, Zones: []string{"zone-a"}, Region: "region", DaemonsPerZone: 3, EnginesPerZone: 1, Slots: 16,
+		TokenTime: 5 * time.Millisecond, Service: "model", Organisations: organisations(10), LeaseTerm: 4 * time.Second, Headroom: 0.25,
+	}
+	d.shape(size, &options)
+	stack, err := wharfstack.Start(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	defer stack.Stop()
+	time.Sleep(settle)
+	before, err := take(stack)
+	if err != nil {
+		return nil, err
+	}
+	if d.work != nil {
+		if err := d.work(ctx, stack, size); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(time.Until(before.at.Add(window)))
+	after, err := take(stack)
+	if err != nil {
+		return nil, err
+	}
+	return difference(size, before, after, len(stack.Daemons)), nil
+}
+
+// sample is the sums over all daemons at one moment.
+type sample struct {
+	at       time.Time
+	cpu      time.Duration
+	memory   int64
+	bytes    int64
+	calls    int64
+	platform wharfplatform.Counts
+}
+
+func take(stack *wharfstack.Stack) (*sample, error) {
+	s := &sample{at: time.Now()}
+	for _, d := range stack.Daemons {
+		cpu, err := processorTime(d.PID)
+		if err != nil {
+			return nil, err
+		}
+		memory, err := residentBytes(d.PID)
+		if err != nil {
+			return nil, err
+		}
+		var vars struct {
+			In    int64 `json:"peer-bytes-in"`
+			Out   int64 `json:"peer-bytes-out"`
+			Calls int64 `json:"peer-calls"`
+		}
+		if err := fetch(d.Operator+"/debug/vars", stack.TokenFile, &vars); err != nil {
+			return nil, err
+		}
+		s.cpu += cpu
+		s.memory += memory
+		s.bytes += vars.In + vars.Out
+		s.calls += vars.Calls
+	}
+	return s, fetch(stack.Platform.URL+"/counts", stack.TokenFile, &s.platform)
+}
+
+func fetch(url, tokenFile string, value any) error {
+	token, err := os.ReadFile(tokenFile)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(value)
+}
+
+func processorTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < statFields {
+		return 0, io.ErrUnexpectedEOF
+	}
+	user, err := strconv.ParseInt(fields[userField], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseInt(fields[systemField], 10, 64)
+	return time.Duration(user+system) * time.Second / ticksASecond, err
+}
+
+func residentBytes(pid int) (int64, error) {
+	file, err := os.Open(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = file.Close() }()
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		rest, found := strings.CutPrefix(scanner.Text(), "VmRSS:")
+		if !found {
+			continue
+		}
+		kilobytes, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+		return kilobytes * kilobyte, err
+	}
+	return 0, io.ErrUnexpectedEOF
+}
+
+func difference(size int, before, after *sample, daemons int) *Point {
+	seconds := after.at.Sub(before.at).Seconds()
+	each := seconds * float64(daemons)
+	return &Point{
+		Size:          size,
+		CorePercent:   100 * (after.cpu - before.cpu).Seconds() / each,
+		Megabytes:     float64(after.memory) / float64(daemons) / kilobyte / kilobyte,
+		BytesPerSec:   float64(after.bytes-before.bytes) / each,
+		CallsPerSec:   float64(after.calls-before.calls) / each,
+		PlatformReads: float64(after.platform.Reads-before.platform.Reads) / seconds,
+		RowWrites:     float64(after.platform.RowWrites-before.platform.RowWrites) / seconds,
+	}
+}
+
+// submitJobs submits jobs that stay open, since their service has no endpoint.
+func submitJobs(ctx context.Context, s *wharfstack.Stack, size int) error {
+	c := &wharfcaller.Caller{Base: s.Daemons[0].URL, Key: s.Keys["organisation-0"], HTTP: http.DefaultClient}
+	file, err := c.Upload(ctx, wharfcaller.Lines(s.Options.Service, "case", 8, 4))
+	if err != nil {
+		return err
+	}
+	for i := range size {
+		if _, err := c.Submit(ctx, file, fmt.Sprint("job-", i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyChanges applies changes of one key each, one after another.
+func applyChanges(ctx context.Context, s *wharfstack.Stack, size int) error {
+	for i := range min(size, changesOfTest) {
+		if _, err := s.CLI(ctx, "key", "create", s.Bundle, "--organisation", "organisation-0", "--id", fmt.Sprint("extra-", i)); err != nil {
+			return err
+		}
+		if err := s.Apply(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Fit returns the cost at size 0 and the growth for each unit of size, by least squares.
+func (s *Slope) Fit(figure func(Point) float64) (base, growth float64) {
+	sizes := make([]float64, 0, len(s.Points))
+	figures := make([]float64, 0, len(s.Points))
+	for _, p := range s.Points {
+		sizes = append(sizes, float64(p.Size))
+		figures = append(figures, figure(p))
+	}
+	return stat.LinearRegression(sizes, figures, nil, false)
+}
+
+// WriteJSON writes slopes to a file.
+func WriteJSON(path string, slopes []*Slope) error {
+	data, err := json.MarshalIndent(slopes, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), fileMode)
+}
+
+// WritePage writes the points and the fits as tables.
+func WritePage(path string, slopes []*Slope) error {
+	var page strings.Builder
+	page.WriteString(intro)
+	for _, s := range slopes {
+		fmt.Fprintf(&page, "## %s\n\n`%s`\n\n", s.Dimension, s.Command)
+		page.WriteString("| size | core % | MB | peer bytes/s | peer calls/s | platform reads/s (all) | row writes/s (all) |\n|---|---|---|---|---|---|---|\n")
+		for _, p := range s.Points {
+			fmt.Fprintf(&page, "| %d | %.2f | %.1f | %.0f | %.1f | %.1f | %.1f |\n", p.Size, p.CorePercent, p.Megabytes, p.BytesPerSec, p.CallsPerSec, p.PlatformReads, p.RowWrites)
+		}
+		page.WriteString(s.fits())
+	}
+	return os.WriteFile(path, []byte(page.String()), fileMode)
+}
+
+const intro = `# Slopes
+
+Written by ` + "`bin/wharf-load slopes`" + `; nothing here is typed in. Each row is the cost of one daemon, without traffic, on average
+over the daemons of one availability zone in a window of eight seconds; docs/CAPACITY.md works with the fits.
+
+`
+
+func (s *Slope) fits() string {
+	var text strings.Builder
+	text.WriteString("\nFits, base + growth × size:")
+	for _, f := range []struct {
+		name   string
+		figure func(Point) float64
+	}{
+		{"core %", func(p Point) float64 { return p.CorePercent }},
+		{"MB", func(p Point) float64 { return p.Megabytes }},
+		{"peer bytes/s", func(p Point) float64 { return p.BytesPerSec }},
+		{"platform reads/s", func(p Point) float64 { return p.PlatformReads }},
+	} {
+		base, growth := s.Fit(f.figure)
+		fmt.Fprintf(&text, " %s %.3g + %.3g × size;", f.name, base, growth)
+	}
+	return strings.TrimSuffix(text.String(), ";") + ".\n\n"
+}
--- a/wharf-load/wharfstack/bundle.go
+++ b/wharf-load/wharfstack/bundle.go
@@ -27,6 +27,9 @@
 	for _, e := range s.Engines {
 		fmt.Fprintf(&text, endpointText, e.Name, s.Options.Service, e.Zone, e.URL, s.Options.Slots)
 	}
+	for i := range s.Options.ExtraEndpoints {
+		fmt.Fprintf(&text, endpointText, fmt.Sprint("extra-", i), s.Options.Service, s.Options.Zones[0], s.Engines[0].URL, s.Options.Slots)
+	}
 	for _, e := range s.Services {
 		fmt.Fprintf(&text, endpointText, e.Name, "ledger", e.Zone, e.URL, s.Options.Slots)
 	}
--- a/wharf-load/wharfstack/stack.go
+++ b/wharf-load/wharfstack/stack.go
@@ -38,6 +38,7 @@
 	Region         string
 	DaemonsPerZone int
 	EnginesPerZone int
+	ExtraEndpoints int // names that stand for the first engine too
 	Slots          int
 	TokenTime      time.Duration
 	Service        string
--- a/wharf/coordination/wharfbatch/claim.go
+++ b/wharf/coordination/wharfbatch/claim.go
@@ -20,16 +20,13 @@
 )
 
 const (
-	offersPage  = 1000
+	freePage    = 100 // free claims looked at in one round
+	claimTries  = 4
+	emptyRounds = 5 // rounds that are left out after one in which there was nothing to claim
 	sweepPeriod = 2 * claimLimit
 	served      = 0.9 // share of the served count that is kept at each round of claims
 )
 
-type offer struct {
-	open    wharfjob.Open
-	version uint64
-}
-
 // claimLoop claims chunks for the permits that have no items, and commits what was answered.
 func (r *Runner) claimLoop(ctx context.Context) {
 	ticker := time.NewTicker(claimPeriod)
@@ -37,9 +34,11 @@
 	saved := time.Now()
 	swept := time.Now()
 	unheld := map[string]bool{}
+	rest := 0
 	for {
-		if wanted := r.wanted(); len(wanted) > 0 && r.mayClaim() {
-			r.claimSome(ctx, wanted)
+		rest--
+		if wanted := r.wanted(); rest <= 0 && len(wanted) > 0 && r.mayClaim() && r.claimSome(ctx, wanted) == 0 {
+			rest = emptyRounds
 		}
 		if time.Since(saved) >= commitPeriod {
 			saved = time.Now()
@@ -63,35 +62,37 @@
 	return !r.stopping && r.options.Member.InForce()
 }
 
-func (r *Runner) claimSome(ctx context.Context, wanted map[string]int) {
+// claimSome claims chunks for the wanted services and returns how many.
+func (r *Runner) claimSome(ctx context.Context, wanted map[string]int) int {
 	limited, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
 	claimed := r.claimFree(ctx, limited, wanted)
 	offers, err := r.offers(limited, wanted)
 	if err != nil {
-		return
+		return claimed
 	}
 	r.order(offers)
 	for _, o := range offers {
-		if wanted[o.open.Service] <= 0 || claimed >= readyChunks {
+		if wanted[o.Open.Service] <= 0 || claimed >= readyChunks {
 			continue
 		}
-		items, err := r.claim(ctx, limited, o)
+		items, err := r.claimAgain(ctx, limited, o)
 		if errors.Is(err, wharfrow.ErrConflict) {
 			continue
 		}
 		if err != nil {
-			klog.V(1).InfoS("chunk not claimed", "job", o.open.Job, "error", err.Error())
-			return
+			klog.V(1).InfoS("chunk not claimed", "job", o.Open.Job, "error", err.Error())
+			return claimed
 		}
 		claimed++
-		wanted[o.open.Service] -= items
+		wanted[o.Open.Service] -= items
 	}
+	return claimed
 }
 
 // claimFree takes claims that nobody holds any more, which are older than what the open jobs still offer.
 func (r *Runner) claimFree(work, ctx context.Context, wanted map[string]int) int {
-	free, err := r.options.Storage.Scan(ctx, wharfjob.OwnerPrefix(wharfjob.Free(r.options.Zone)), "", offersPage)
+	free, err := r.options.Storage.Scan(ctx, wharfjob.OwnerPrefix(wharfjob.Free(r.options.Zone)), "", freePage)
 	if err != nil {
 		return 0
 	}
@@ -112,25 +113,9 @@
 	return claimed
 }
 
-// offers reads the open jobs that have unclaimed chunks for the wanted services.
-func (r *Runner) offers(ctx context.Context, wanted map[string]int) ([]offer, error) {
-	var offers []offer
-	err := wharfstorage.ScanAll(ctx, r.options.Storage, wharfjob.OpenPrefix, func(row wharfrow.Row) error {
-		var open wharfjob.Open
-		if err := json.Unmarshal(row.Value, &open); err != nil {
-			return trace.Wrap(err)
-		}
-		if open.Next < open.Chunks && wanted[open.Service] > 0 {
-			offers = append(offers, offer{open: open, version: row.Version})
-		}
-		return nil
-	})
-	return offers, trace.Wrap(err)
-}
-
 // order puts the organisation first that was served least for its weight, and its most urgent job;
 // jobs that are late or nearly so come before all.
-func (r *Runner) order(offers []offer) {
+func (r *Runner) order(offers []Offer) {
 	config := r.options.Config()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,19 +130,19 @@
 	}
 	now := time.Now()
 	rand.Shuffle(len(offers), func(i, j int) { offers[i], offers[j] = offers[j], offers[i] })
-	slices.SortStableFunc(offers, func(a, b offer) int {
+	slices.SortStableFunc(offers, func(a, b Offer) int {
 		return cmp.Or(
 			-boolCompare(urgent(a, now), urgent(b, now)),
-			cmp.Compare(due[a.open.Organisation], due[b.open.Organisation]),
-			a.open.Deadline.Compare(b.open.Deadline))
+			cmp.Compare(due[a.Open.Organisation], due[b.Open.Organisation]),
+			a.Open.Deadline.Compare(b.Open.Deadline))
 	})
 }
 
-func urgent(o offer, now time.Time) bool {
+func urgent(o Offer, now time.Time) bool {
 	const itemTime = 100 * time.Millisecond
-	left := o.open.Chunks - o.open.Next
-	need := time.Duration(o.open.Items*left/max(1, o.open.Chunks)) * itemTime
-	return o.open.Deadline.Sub(now) < need
+	left := o.Open.Chunks - o.Open.Next
+	need := time.Duration(o.Open.Items*left/max(1, o.Open.Chunks)) * itemTime
+	return o.Open.Deadline.Sub(now) < need
 }
 
 func boolCompare(a, b bool) int {
@@ -170,18 +155,36 @@
 	return -1
 }
 
+// claimAgain claims from a job that others may claim from at the same time: after a conflict it reads the row anew.
+func (r *Runner) claimAgain(work, ctx context.Context, o Offer) (int, error) {
+	for try := 1; ; try++ {
+		items, err := r.claim(work, ctx, o)
+		if try == claimTries || !errors.Is(err, wharfrow.ErrConflict) {
+			return items, err
+		}
+		open, version, err := wharfstorage.Read[wharfjob.Open](ctx, r.options.Storage, wharfjob.OpenKey(o.Open.Job))
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		if version == 0 || version == o.Version || open.Next >= open.Chunks {
+			return 0, trace.Wrap(wharfrow.ErrConflict)
+		}
+		o = Offer{Open: open, Version: version}
+	}
+}
+
 // claim commits this incarnation as the owner of a job's next chunk and queues its items, which run until work ends.
-func (r *Runner) claim(work, ctx context.Context, o offer) (int, error) {
+func (r *Runner) claim(work, ctx context.Context, o Offer) (int, error) {
 	view := r.options.Member.View()
 	if !view.InForce(time.Now()) {
 		return 0, trace.Wrap(wharfrow.ErrConflict)
 	}
-	claim := wharfjob.Claim{Job: o.open.Job, FileID: o.open.FileID, Service: o.open.Service, Chunk: o.open.Next}
+	claim := wharfjob.Claim{Job: o.Open.Job, FileID: o.Open.FileID, Service: o.Open.Service, Chunk: o.Open.Next}
 	key := wharfjob.ClaimKey(r.owner(view), claim.Job, claim.Chunk)
-	next := o.open
+	next := o.Open
 	next.Next++
 	conditions := []wharfrow.Condition{
-		wharfstorage.At(wharfjob.OpenKey(claim.Job), o.version),
+		wharfstorage.At(wharfjob.OpenKey(claim.Job), o.Version),
 		wharfstorage.At(key, 0),
 	}
 	err := wharfstorage.Commit(ctx, r.options.Storage, conditions,
@@ -190,7 +193,7 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	return r.load(work, ctx, o.open, claim, key)
+	return r.load(work, ctx, o.Open, claim, key)
 }
 
 // load reads the items of a claim and queues those that have no committed result.
--- a/wharf/coordination/wharfbatch/runner.go
+++ b/wharf/coordination/wharfbatch/runner.go
@@ -30,6 +30,7 @@
 	Member   *wharfmember.Member
 	Config   func() *wharfsnapshot.Snapshot
 	Executor Executor
+	Peers    Peers
 	Headroom float64 // share of an endpoint's slots, from 0 to 1, that batch leaves free
 	Blind    bool    // batch takes no notice of online requests
 }
@@ -42,6 +43,7 @@
 	queues    map[string]*queue // by service
 	chunks    map[*chunk]struct{}
 	served    map[string]float64
+	board     board
 	stopping  bool
 	wake      chan struct{}
 	work      sync.WaitGroup
--- /dev/null
+++ b/wharf/coordination/wharfgate/gate_test.go
@@ -0,0 +1,122 @@
+package wharfgate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/wharf/state/wharfconfig"
+	"wagtailwharf.example/wharf/state/wharfpick"
+)
+
+func newGate(slots int) *Gate {
+	picker := wharfpick.New("a", nil)
+	picker.Update([]wharfconfig.Endpoint{{Name: "e", Service: "s", Zone: "a", URL: "http://e", Slots: slots}}, nil, 1)
+	return New(picker)
+}
+
+func request(organisation string, patience time.Duration) Request {
+	return Request{Organisation: organisation, Weight: 1, Patience: patience, Pick: wharfpick.Request{Service: "s", Now: time.Now()}}
+}
+
+func TestFullGateServesOrganisationsInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1)
+		ctx := context.Background()
+		var mu sync.Mutex
+		served := map[string]int{}
+		var work sync.WaitGroup
+		for i := range 30 {
+			organisation := "greedy"
+			if i%10 == 9 {
+				organisation = fmt.Sprintf("modest-%d", i/10)
+			}
+			work.Go(func() {
+				e, _, err := g.Acquire(ctx, request(organisation, time.Minute))
+				if err != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+				mu.Lock()
+				if len(served) < 4 {
+					served[organisation]++
+				}
+				mu.Unlock()
+				g.Release(e)
+			})
+		}
+		work.Wait()
+		assert.Equal(t, len(served), 4, "the modest ones were served among the first: %v", served)
+		assert.Assert(t, served["greedy"] < 10, "%v", served)
+	})
+}
+
+func TestRequestThatCanNotStartInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1)
+		ctx := context.Background()
+		var held []*wharfpick.Endpoint
+		for {
+			e, err := g.picker.Pick(wharfpick.Request{Service: "s", Now: time.Now()})
+			if err != nil {
+				break
+			}
+			held = append(held, e)
+		}
+		var waiters sync.WaitGroup
+		for range 10 {
+			waiters.Go(func() {
+				_, _, err := g.Acquire(ctx, request("a", 100*time.Millisecond))
+				assert.Check(t, errors.Is(err, ErrBusy))
+			})
+		}
+		synctest.Wait()
+		begun := time.Now()
+		_, wait, err := g.Acquire(ctx, request("a", 100*time.Millisecond))
+		assert.Assert(t, errors.Is(err, ErrBusy))
+		assert.Equal(t, time.Since(begun), time.Duration(0))
+		assert.Assert(t, wait >= time.Second)
+		waiters.Wait()
+		for _, e := range held {
+			g.Release(e)
+		}
+		_, _, err = g.Acquire(ctx, request("a", time.Second))
+		assert.NilError(t, err)
+	})
+}
+
+func TestWaiterThatGoesAwayIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1)
+		var held []*wharfpick.Endpoint
+		for {
+			e, err := g.picker.Pick(wharfpick.Request{Service: "s", Now: time.Now()})
+			if err != nil {
+				break
+			}
+			held = append(held, e)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var waiters sync.WaitGroup
+		waiters.Go(func() {
+			_, _, err := g.Acquire(ctx, request("gone", time.Second))
+			assert.Check(t, errors.Is(err, context.Canceled))
+		})
+		synctest.Wait()
+		waiters.Go(func() {
+			_, _, err := g.Acquire(context.Background(), request("stays", time.Second))
+			assert.Check(t, err == nil)
+		})
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		g.Release(held[0])
+		waiters.Wait()
+	})
+}
--- /dev/null
+++ b/wharf/coordination/wharfmember/member_test.go
@@ -0,0 +1,252 @@
+package wharfmember
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/wharf/coordination/wharfcontrol"
+	"wagtailwharf.example/wharf/state/wharfrow"
+	"wagtailwharf.example/wharf/state/wharftable"
+)
+
+const (
+	term   = 4 * time.Second
+	margin = 250 * time.Millisecond
+)
+
+var errCut = errors.New("cut off")
+
+// zone is one availability zone whose hosts call each other by function calls, with the clock of a synctest bubble.
+type zone struct {
+	table   *wharftable.Table
+	mu      sync.Mutex
+	down    bool
+	hosts   map[netip.AddrPort]*host
+	silent  map[string]bool
+	commits int
+}
+
+type host struct {
+	member *Member
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+func newZone() *zone {
+	return &zone{table: wharftable.New(), hosts: map[netip.AddrPort]*host{}, silent: map[string]bool{}}
+}
+
+func address(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(number)}), 1)
+}
+
+func (z *zone) start(number int) *host {
+	name := fmt.Sprintf("h%d", number)
+	loop := wharfcontrol.New()
+	h := &host{}
+	h.member = New(Options{
+		Host: name, Zone: "z", Peer: address(number), Term: term, Margin: margin,
+		Storage: storage{zone: z}, Peers: peers{zone: z, from: name}, Loop: loop,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	z.mu.Lock()
+	z.hosts[address(number)] = h
+	z.mu.Unlock()
+	h.work.Go(func() { _ = loop.Serve(ctx) })
+	h.work.Go(func() { _ = h.member.Serve(ctx) })
+	return h
+}
+
+func (h *host) stop() {
+	h.cancel()
+	h.work.Wait()
+}
+
+func (z *zone) setDown(down bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.down = down
+}
+
+func (z *zone) setSilent(name string, silent bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.silent[name] = silent
+}
+
+// storage is the zone's way to the table.
+type storage struct {
+	zone *zone
+}
+
+func (s storage) reach() error {
+	s.zone.mu.Lock()
+	defer s.zone.mu.Unlock()
+	if s.zone.down {
+		return wharfrow.ErrUnavailable
+	}
+	return nil
+}
+
+func (s storage) Get(_ context.Context, key string) (wharfrow.Row, error) {
+	return s.zone.table.Get(key), s.reach()
+}
+
+func (s storage) Scan(_ context.Context, prefix, after string, limit int) ([]wharfrow.Row, error) {
+	return s.zone.table.Scan(prefix, after, limit), s.reach()
+}
+
+func (s storage) Commit(_ context.Context, commit wharfrow.Commit) error {
+	if err := s.reach(); err != nil {
+		return err
+	}
+	s.zone.mu.Lock()
+	s.zone.commits++
+	s.zone.mu.Unlock()
+	return s.zone.table.Commit(commit)
+}
+
+func (s storage) PutObject(context.Context, string, []byte) error   { return nil }
+func (s storage) GetObject(context.Context, string) ([]byte, error) { return nil, wharfrow.ErrNotFound }
+
+// peers are the calls of one host to the others of its zone.
+type peers struct {
+	zone *zone
+	from string
+}
+
+func (p peers) find(ctx context.Context, to netip.AddrPort) (*Member, error) {
+	p.zone.mu.Lock()
+	h := p.zone.hosts[to]
+	cut := h == nil || p.zone.silent[p.from] || p.zone.silent[h.member.Host()]
+	p.zone.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	return h.member, nil
+}
+
+func (p peers) Renew(ctx context.Context, to netip.AddrPort, request RenewRequest) (RenewReply, error) {
+	m, err := p.find(ctx, to)
+	if err != nil {
+		return RenewReply{}, err
+	}
+	return m.HandleRenew(ctx, request)
+}
+
+func (p peers) Agree(ctx context.Context, to netip.AddrPort, request AgreeRequest) (AgreeReply, error) {
+	m, err := p.find(ctx, to)
+	if err != nil {
+		return AgreeReply{}, err
+	}
+	return m.HandleAgree(ctx, request)
+}
+
+func (p peers) Adopt(ctx context.Context, to netip.AddrPort, request AdoptRequest) (AdoptReply, error) {
+	m, err := p.find(ctx, to)
+	if err != nil {
+		return AdoptReply{}, err
+	}
+	return m.HandleAdopt(ctx, request)
+}
+
+func inZone(t *testing.T, count int, run func(t *testing.T, z *zone, hosts []*host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone()
+		var hosts []*host
+		for number := range count {
+			hosts = append(hosts, z.start(number+1))
+		}
+		time.Sleep(5 * term)
+		for _, h := range hosts {
+			assert.Assert(t, h.member.InForce())
+		}
+		run(t, z, hosts)
+		for _, h := range hosts {
+			h.stop()
+		}
+	})
+}
+
+func TestSteadyZoneWritesNothing(t *testing.T) {
+	inZone(t, 3, func(t *testing.T, z *zone, hosts []*host) {
+		before := z.commits
+		time.Sleep(time.Hour)
+		assert.Equal(t, z.commits, before)
+		assert.Equal(t, len(hosts[0].member.View().Live), 3)
+	})
+}
+
+func TestOutageOfHoursStopsNobody(t *testing.T) {
+	for _, count := range []int{2, 3, 4} {
+		inZone(t, count, func(t *testing.T, z *zone, hosts []*host) {
+			z.setDown(true)
+			for range 100 {
+				time.Sleep(time.Minute)
+				for _, h := range hosts {
+					assert.Assert(t, h.member.InForce())
+				}
+			}
+			z.setDown(false)
+			time.Sleep(term)
+		})
+	}
+}
+
+func TestSilentHostIsFencedBeforeItsReclaim(t *testing.T) {
+	for _, count := range []int{3, 4, 5} {
+		inZone(t, count, func(t *testing.T, z *zone, hosts []*host) {
+			epoch := hosts[0].member.View().Self.Epoch
+			z.setSilent("h1", true)
+			reclaimed := false
+			for range 400 {
+				time.Sleep(50 * time.Millisecond)
+				view := hosts[1].member.View()
+				reclaimed = reclaimed || !view.Zone.Holds("h1", epoch)
+				current := hosts[0].member.View()
+				if reclaimed && current != nil && current.Self.Epoch == epoch {
+					assert.Assert(t, !hosts[0].member.InForce())
+				}
+			}
+			assert.Assert(t, reclaimed, "within %v", 400*50*time.Millisecond)
+			z.setSilent("h1", false)
+			time.Sleep(5 * term)
+			assert.Assert(t, hosts[0].member.InForce())
+			assert.Assert(t, hosts[0].member.View().Self.Epoch > epoch)
+		})
+	}
+}
+
+func TestOneOfTwoServesOnByTheTablesVote(t *testing.T) {
+	inZone(t, 2, func(t *testing.T, z *zone, hosts []*host) {
+		z.setSilent("h2", true)
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			assert.Assert(t, hosts[0].member.InForce())
+		}
+		z.setSilent("h2", false)
+		time.Sleep(5 * term)
+		assert.Assert(t, hosts[1].member.InForce())
+	})
+}
+
+func TestLeaverHandsItsPlaceBack(t *testing.T) {
+	inZone(t, 3, func(t *testing.T, _ *zone, hosts []*host) {
+		assert.NilError(t, hosts[2].member.Leave(context.Background()))
+		assert.Assert(t, !hosts[2].member.InForce())
+		time.Sleep(term)
+		assert.Equal(t, len(hosts[0].member.View().Zone.Members), 2)
+		assert.Assert(t, hosts[0].member.InForce())
+	})
+}
--- /dev/null
+++ b/wharf/doc.go
@@ -0,0 +1,2 @@
+// Package wharf is the root of the layers that the daemon is made of.
+package wharf
--- a/wharf/protocol/wharfpeer/peers.go
+++ b/wharf/protocol/wharfpeer/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 
+	"wagtailwharf.example/wharf/coordination/wharfbatch"
 	"wagtailwharf.example/wharf/coordination/wharfmember"
 	"wagtailwharf.example/wharf/coordination/wharfquota"
 	"wagtailwharf.example/wharf/coordination/wharfreport"
@@ -63,6 +64,17 @@
 	return call[wharfrollout.OfferReply](ctx, p, to, "Offer", request)
 }
 
+// Offers asks for open jobs.
+func (p *Peers) Offers(ctx context.Context, to netip.AddrPort, request wharfbatch.OfferRequest) (wharfbatch.OfferReply, error) {
+	return call[wharfbatch.OfferReply](ctx, p, to, "Offers", request)
+}
+
+// Leaving tells of the endpoints that the platform lists as leaving.
+func (p *Peers) Leaving(ctx context.Context, to netip.AddrPort, names []string) error {
+	_, err := call[struct{}](ctx, p, to, "Leaving", names)
+	return err
+}
+
 // Report tells how many online requests the caller has on endpoints.
 func (p *Peers) Report(ctx context.Context, to netip.AddrPort, report wharfreport.Report) error {
 	_, err := call[struct{}](ctx, p, to, "Report", report)
--- a/wharf/protocol/wharfpeer/server.go
+++ b/wharf/protocol/wharfpeer/server.go
@@ -28,6 +28,7 @@
 	Reporter *wharfreport.Reporter
 	Runner   *wharfbatch.Runner
 	Ledger   *wharfpoison.Ledger
+	Leaving  func(names []string)
 }
 
 // NewServer returns a net/rpc server of the methods, whose work ends with ctx.
@@ -78,6 +79,17 @@
 	return answer(m, request, reply, m.handlers.Rollout.HandleOffer)
 }
 
+// Offers answers with open jobs.
+func (m *methods) Offers(request wharfbatch.OfferRequest, reply *wharfbatch.OfferReply) error {
+	return answer(m, request, reply, m.handlers.Runner.HandleOffers)
+}
+
+// Leaving takes in which endpoints leave.
+func (m *methods) Leaving(names []string, _ *struct{}) error {
+	m.handlers.Leaving(names)
+	return nil
+}
+
 // Report takes counts of online requests in.
 func (m *methods) Report(report wharfreport.Report, _ *struct{}) error {
 	m.handlers.Reporter.Handle(report)
--- /dev/null
+++ b/wharf/transport/wharfdial/pool_test.go
@@ -0,0 +1,116 @@
+package wharfdial
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type echo struct {
+	block chan struct{}
+}
+
+func (e *echo) Say(text string, reply *string) error {
+	if text == "wait" {
+		<-e.block
+	}
+	if text == "fail" {
+		return errors.New("told to")
+	}
+	*reply = text
+	return nil
+}
+
+func serveEcho(t *testing.T, token string) (netip.AddrPort, *echo) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &echo{block: make(chan struct{})}
+	server := rpc.NewServer()
+	assert.NilError(t, server.RegisterName("E", e))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = NewPool(token, netip.Addr{}).Serve(ctx, listener, server)
+	}()
+	t.Cleanup(func() {
+		close(e.block)
+		cancel()
+		<-done
+	})
+	return netip.MustParseAddrPort(listener.Addr().String()), e
+}
+
+func TestCall(t *testing.T) {
+	address, _ := serveEcho(t, "token")
+	pool := NewPool("token", netip.Addr{})
+	t.Cleanup(pool.Close)
+	var reply string
+	assert.NilError(t, pool.Call(context.Background(), address, "E.Say", "hello", &reply))
+	assert.Equal(t, reply, "hello")
+	assert.ErrorContains(t, pool.Call(context.Background(), address, "E.Say", "fail", &reply), "told to")
+	assert.Assert(t, pool.BytesOut.Load() > 0 && pool.BytesIn.Load() > 0)
+}
+
+func TestCallThatTimesOutLeavesItsConnection(t *testing.T) {
+	address, _ := serveEcho(t, "token")
+	pool := NewPool("token", netip.Addr{})
+	t.Cleanup(pool.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var reply string
+	err := pool.Call(ctx, address, "E.Say", "wait", &reply)
+	assert.Assert(t, errors.Is(err, ErrNoReply))
+	assert.NilError(t, pool.Call(context.Background(), address, "E.Say", "again", &reply))
+	assert.Equal(t, reply, "again")
+}
+
+func TestWrongTokenIsRefused(t *testing.T) {
+	address, _ := serveEcho(t, "token")
+	pool := NewPool("another", netip.Addr{})
+	t.Cleanup(pool.Close)
+	var reply string
+	err := pool.Call(context.Background(), address, "E.Say", "hello", &reply)
+	assert.Assert(t, errors.Is(err, ErrNoReply))
+}
+
+// bufferConn is a connection whose input is fixed.
+type bufferConn struct {
+	net.Conn
+	input *bytes.Reader
+}
+
+func (c *bufferConn) Read(b []byte) (int, error)       { return c.input.Read(b) }
+func (c *bufferConn) Write(b []byte) (int, error)      { return len(b), nil }
+func (c *bufferConn) Close() error                     { return nil }
+func (c *bufferConn) SetDeadline(time.Time) error      { return nil }
+func (c *bufferConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *bufferConn) SetWriteDeadline(time.Time) error { return nil }
+
+func FuzzPeerMessages(f *testing.F) {
+	f.Add([]byte(greeting + "token\n"))
+	f.Add([]byte(greeting + "token\n\x10\xff\x81\x03\x01"))
+	f.Add([]byte("GET / HTTP/1.1\r\n"))
+	f.Fuzz(func(_ *testing.T, input []byte) {
+		server := rpc.NewServer()
+		_ = server.RegisterName("E", &echo{block: make(chan struct{})})
+		conn := &bufferConn{input: bytes.NewReader(input)}
+		reader, ok := NewPool("token", netip.Addr{}).admit(conn)
+		if !ok {
+			return
+		}
+		server.ServeConn(struct {
+			io.Reader
+			io.WriteCloser
+		}{io.LimitReader(reader, 1<<16), conn})
+	})
+}
