--- a/wharf/state/wharfbucket/bucket.go
+++ b/wharf/state/wharfbucket/bucket.go
@@ -88,11 +88,6 @@
 	b.grants = slices.Insert(b.grants, i, g)
 }
 
-const (
-	sparePart = 4    // part of what is left that one drawer may take ahead
-	leastDraw = 0.01 // tokens that are worth a grant
-)
-
 // Wait returns how long until a whole token can be drawn.
 func (b *Bucket) Wait(now time.Time) time.Duration {
 	b.advance(now)
