A silent owner of a quota shard no longer uses up the tokens of the next

Cause: a draw asked the owner that was known last and then the likely ones under one limit of 150 ms, and the term of the tokens counted from its beginning. While a host is cut off, the first owner never answers; the next one granted a token after 150 ms, which had expired when it came, and the request was refused as over its rate. Refusals in a row then lasted up to 200 ms. Trace: TestHostCutOffAloneStopsKeyedWork beside six busy processes, with lines at each draw: 'tokens=1 need=1 took=150.6ms' before each first refusal. Ruled out: lack of tokens (loans came for each draw of the inherited, still closed bucket), a lender without an answer. Change: each owner has half a term to answer, the term counts from when the owner that answers was asked, and the owner without an answer is logged.

--- a/wharf/coordination/wharfquota/drawer.go
+++ b/wharf/coordination/wharfquota/drawer.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	drawTimeout    = NeedTerm
+	askTimeout     = NeedTerm / 2                    // for one owner's answer: more than that owner waits for a loan
+	drawTimeout    = (rankedOwners + 1) * askTimeout // for the answers of all that may be the owner
 	ownerBackoff   = 100 * time.Millisecond
 	directoryAge   = 20 * time.Second
 	directoryRetry = time.Second
@@ -189,20 +190,26 @@
 	return slices.Concat(zones[own:], zones[:own])
 }
 
-// Draw asks the known owner of the organisation's shard in a zone, then those that are likely to own it by now.
+// Draw asks the known owner of the organisation's shard in a zone, then those that are likely to own it by now. The term
+// of the tokens counts from the call of Draw.
 func (d *Drawer) Draw(ctx context.Context, zone string, request DrawRequest) (DrawReply, error) {
+	called := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	key := ShardKey(zone, ShardOf(request.Organisation))
 	asked := map[netip.AddrPort]bool{}
 	for _, address := range d.candidates(zone, key) {
+		sent := time.Now()
 		if reply, ok := d.ask(ctx, key, address, request, asked); ok {
+			reply.Term += sent.Sub(called)
 			return reply, nil
 		}
 	}
 	if d.scan(ctx) {
+		sent := time.Now()
 		if address, ok := d.owners.Load(key); ok {
 			if reply, ok := d.ask(ctx, key, address.(netip.AddrPort), request, asked); ok {
+				reply.Term += sent.Sub(called)
 				return reply, nil
 			}
 		}
@@ -234,13 +241,20 @@
 	return candidates
 }
 
+// ask gives each address a time of its own, so that a silent one does not use up that of the next.
 func (d *Drawer) ask(ctx context.Context, key string, address netip.AddrPort, request DrawRequest, asked map[netip.AddrPort]bool) (DrawReply, bool) {
 	if asked[address] {
 		return DrawReply{}, false
 	}
 	asked[address] = true
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	reply, err := d.call(ctx, address, request)
-	if err != nil || reply.NotOwner {
+	if err != nil {
+		klog.V(1).InfoS("owner of a quota shard gave no answer", "shard", key, "peer", address.String(), "error", err.Error())
+		return DrawReply{}, false
+	}
+	if reply.NotOwner {
 		return DrawReply{}, false
 	}
 	d.owners.Store(key, address)
