Work for each message and each choice no longer grows with all endpoints

Change: wharffleet keeps what each host has reported and counts differences; endpoints of a service and zone stand in a ring, hosts choose among 64 from their own evenly spread positions on and among more while these are crowded; other zones only when the own one has no room. wharfgossip tells changes to the hosts of its zone that share endpoints, to the rest only what they may share; the circle of who hears what is drawn each period and when peers change, not at each message. Tests: rings are covered evenly and overflow in order, loads add up whatever comes (rapid), who is close to whom, who hears what.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -92,9 +92,11 @@
 			Host: settings.Host, Zone: settings.Zone, Address: settings.Peers, Incarnation: h.incarnation,
 		},
 		Fill:    h.fill,
-		Changes: func(m *wharfgossip.Message) { m.Loads = h.fleet.Changes() },
+		Changes: h.fleet.Changes,
 		Receive: h.receive,
 		Changed: h.peerChanged,
+		Settle:  h.fleet.Settle,
+		Reach:   h.fleet.Reach,
 	})
 	h.members = members{host: h, seen: map[string]sighting{}, started: time.Now()}
 	h.directory = wharfdirectory.New(wharfdirectory.Options{
@@ -260,7 +262,7 @@
 
 // askPeer asks the host that has heard from the store most recently.
 func (h *Host) askPeer(ctx context.Context) (wharfdirectory.Snapshot, error) {
-	var best wharfgossip.Peer
+	best := wharfgossip.Peer{Last: &wharfgossip.Message{}}
 	for _, p := range h.gossip.Peers() {
 		if p.Presence == wharfgossip.Alive && p.Last.Informed > best.Last.Informed {
 			best = p
--- a/wharf-load/wharfcapacity/host.go
+++ b/wharf-load/wharfcapacity/host.go
@@ -51,7 +51,10 @@
 	views := h.model.Views
 	h.model.clock.after(views.Near, func() {
 		h.touched = false
-		loads := h.fleet.Changes()
+		var loads []wharffleet.Load
+		for _, change := range h.fleet.Changes() {
+			loads = append(loads, change.Load)
+		}
 		for _, other := range h.model.hosts {
 			switch {
 			case other == h:
--- a/wharf/coordination/wharfgossip/gossip.go
+++ b/wharf/coordination/wharfgossip/gossip.go
@@ -12,6 +12,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/state/wharffleet"
 )
 
 const (
@@ -49,18 +51,20 @@
 	Incarnation uint64
 	Presence    Presence
 	Heard       time.Time
-	Last        Message
-	loads       uint64 // sequence of the last message, direct or relayed, whose loads were taken over
+	Last        *Message // never changed, but replaced by a newer one; an empty one if none has come
+	loads       uint64   // sequence of the last message, direct or relayed, whose loads were taken over
 	probed      time.Time
 }
 
 // Options are a gossip's settings and hooks; hooks may be called from several goroutines.
 type Options struct {
-	Self    Message          // host, zone, address and incarnation
-	Fill    func(m *Message) // adds the present state before a message is sent
-	Changes func(m *Message) // adds what has changed since the last message
-	Receive func(m *Message) // takes a newer message over
-	Changed func(p Peer)     // a peer's presence or incarnation has changed
+	Self    Message                    // host, zone, address and incarnation
+	Fill    func(m *Message)           // adds the present state before a message is sent
+	Changes func() []wharffleet.Change // returns what has changed since the last call
+	Receive func(m *Message)           // takes a newer message over
+	Changed func(p Peer)               // a peer's presence or incarnation has changed
+	Settle  func(rank, count int)      // the place of this host among those of its zone has changed
+	Reach   func() float64             // part of the zone's hosts, in the order of their names, that share endpoints
 }
 
 // Gossip exchanges messages with all peers.
@@ -68,9 +72,10 @@
 	options Options
 	mu      sync.Mutex
 	peers   map[string]*Peer
-	conn    net.PacketConn
+	conn    *net.UDPConn
 	sent    uint64
 	relays  map[string]*Relayed // of hosts of other zones, that the own zone is to be told
+	moved   bool                // peers have come, gone or changed since the circle was drawn
 	touched chan struct{}
 }
 
@@ -88,10 +93,12 @@
 	}
 	p := g.peers[host]
 	if p == nil {
-		g.peers[host] = &Peer{Host: host, Zone: zone, Address: address, Incarnation: incarnation}
+		g.peers[host] = &Peer{Host: host, Zone: zone, Address: address, Incarnation: incarnation, Last: &Message{}}
+		g.moved = true
 		return
 	}
 	if incarnation > p.Incarnation {
+		g.moved = true
 		p.Zone, p.Address, p.Incarnation, p.Presence = zone, address, incarnation, Unheard
 	}
 }
@@ -101,6 +108,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.peers, host)
+	g.moved = true
 }
 
 // Peers returns the other hosts.
@@ -152,7 +160,7 @@
 
 // Serve sends and receives until ctx ends.
 func (g *Gossip) Serve(ctx context.Context) error {
-	conn, err := net.ListenPacket("udp", g.options.Self.Address.String())
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(g.options.Self.Address))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -168,10 +176,10 @@
 	return trace.Wrap(err)
 }
 
-func (g *Gossip) receiveAll(ctx context.Context, conn net.PacketConn) error {
+func (g *Gossip) receiveAll(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, largestMessage)
 	for {
-		n, _, err := conn.ReadFrom(buffer)
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
@@ -197,7 +205,7 @@
 	g.mu.Lock()
 	p := g.peers[m.Host]
 	if p == nil {
-		p = &Peer{Host: m.Host}
+		p = &Peer{Host: m.Host, Last: &Message{}}
 		g.peers[m.Host] = p
 	}
 	if m.Incarnation < p.Incarnation || (m.Incarnation == p.Last.Incarnation && m.Sequence <= p.Last.Sequence) {
@@ -205,6 +213,7 @@
 		return
 	}
 	changed := p.Presence != Alive || p.Incarnation != m.Incarnation
+	g.moved = g.moved || changed
 	p.Zone, p.Address, p.Incarnation = m.Zone, m.Address, m.Incarnation
 	p.Presence, p.Heard = Alive, time.Now()
 	p.take(m)
@@ -232,13 +241,15 @@
 	if !m.Partial || len(m.Loads) > 0 {
 		p.loads = max(p.loads, m.Sequence)
 	}
-	switch {
-	case !m.Partial:
-		p.Last = *m
-	case m.Brief:
-		p.Last = *m
-		p.Last.Loads, p.Last.Levels = before.Loads, before.Levels
-	default:
-		p.Last.Incarnation, p.Last.Sequence = m.Incarnation, m.Sequence
+	if !m.Partial {
+		p.Last = m
+		return
+	}
+	merged := *before
+	if m.Brief {
+		merged = *m
+		merged.Loads, merged.Levels = before.Loads, before.Levels
 	}
+	merged.Incarnation, merged.Sequence = m.Incarnation, m.Sequence
+	p.Last = &merged
 }
--- a/wharf/coordination/wharfgossip/gossip_test.go
+++ b/wharf/coordination/wharfgossip/gossip_test.go
@@ -29,9 +29,13 @@
 	assert.NilError(t, err)
 	h := &host{address: netip.MustParseAddrPort(listener.Addr().String()), presence: map[string]Presence{}}
 	h.Gossip = New(Options{
-		Self:    Message{Host: name, Zone: zone, Address: h.address, Incarnation: 1},
-		Fill:    func(m *Message) { m.Loads = []wharffleet.Load{{Endpoint: "whole", Online: 1}} },
-		Changes: func(m *Message) { m.Loads = []wharffleet.Load{{Endpoint: "change", Online: 1}} },
+		Self: Message{Host: name, Zone: zone, Address: h.address, Incarnation: 1},
+		Fill: func(m *Message) { m.Loads = []wharffleet.Load{{Endpoint: "whole", Online: 1}} },
+		Changes: func() []wharffleet.Change {
+			return []wharffleet.Change{{Load: wharffleet.Load{Endpoint: "change", Online: 1}}}
+		},
+		Settle: func(int, int) {},
+		Reach:  func() float64 { return 1 },
 		Receive: func(m *Message) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -147,10 +151,10 @@
 	await(t, "a hears all", func() bool {
 		return a.sees("b") == Alive && a.sees("c") == Alive && a.sees("d") == Alive && a.sees("e") == Alive
 	})
-	near, contacts := a.split(a.Peers())
-	assert.Equal(t, len(near), 1)
-	assert.Equal(t, near[0].Host, "b")
-	assert.Equal(t, len(contacts), 2, "one host of each zone in which any is alive")
+	circle := a.draw()
+	assert.Equal(t, len(circle.near), 1)
+	assert.Equal(t, circle.near[0].Host, "b")
+	assert.Equal(t, len(circle.contacts), 2, "one host of each zone in which any is alive")
 	a.Touch()
 	for _, h := range all[1:] {
 		await(t, h.options.Self.Host+" learns of a's change", func() bool {
--- a/wharf/coordination/wharfgossip/presence.go
+++ b/wharf/coordination/wharfgossip/presence.go
@@ -74,6 +74,7 @@
 		return
 	}
 	p.Presence = presence
+	g.moved = true
 	copied := *p
 	g.mu.Unlock()
 	g.options.Changed(copied)
--- a/wharf/coordination/wharfgossip/spread.go
+++ b/wharf/coordination/wharfgossip/spread.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -15,27 +14,29 @@
 
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfpause"
-	"wagtailwharf.example/wharf/state/wharfrank"
 )
 
 // sendAll sends the whole state from time to time, and changes soon after they come about.
 func (g *Gossip) sendAll(ctx context.Context) {
 	for round := 0; ; round++ {
-		peers := g.Peers()
-		g.sendState(peers, round)
-		g.watch(ctx, peers)
-		period := periodOf(len(peers))
+		_ = g.hasMoved()
+		c := g.draw()
+		g.sendState(c, round)
+		g.watch(ctx, c.all)
+		period := periodOf(len(c.all))
 		next := time.NewTimer(period + rand.N(period/4))
 		for waiting := true; waiting; {
 			select {
 			case <-next.C:
 				waiting = false
 			case <-g.touched:
-				near, contacts := g.split(g.Peers())
-				if !wharfpause.For(ctx, time.Duration(len(near)+len(contacts))*changePerPeer) {
+				if g.hasMoved() {
+					c = g.draw()
+				}
+				if !wharfpause.For(ctx, time.Duration(len(c.close)+len(c.contacts))*changePerPeer) {
 					return
 				}
-				g.sendChanges(near, contacts)
+				g.sendChanges(c)
 			case <-ctx.Done():
 				return
 			}
@@ -48,47 +49,48 @@
 	return max(basePeriod, time.Duration(peers)*periodPerPeer)
 }
 
-// sendChanges tells hosts what has changed: near ones also what other zones have told this host, contacts that they tell
-// their zone.
-func (g *Gossip) sendChanges(near, contacts []Peer) {
-	message := g.options.Self
-	message.Partial = true
-	g.options.Changes(&message)
-	if len(message.Loads) > 0 && len(contacts) > 0 {
-		spread := message
-		spread.Spread = true
-		g.deliver(&spread, contacts)
+// sendChanges tells hosts what has changed: those close by also what other zones have told this host, contacts that they
+// tell their zone. In a divided zone the others hear only of what they may have to do with, and contacts only of
+// endpoints in their own zone.
+func (g *Gossip) sendChanges(c *circle) {
+	changes, relayed := g.options.Changes(), g.takeRelays()
+	g.sendLoads(loadsOf(changes, func(wharffleet.Change) bool { return true }), relayed, c.close)
+	if !c.divided() {
+		g.spreadLoads(loadsOf(changes, func(wharffleet.Change) bool { return true }), c.contacts)
+		return
 	}
-	message.Relayed = g.takeRelays()
-	if len(message.Loads) > 0 || len(message.Relayed) > 0 {
-		g.deliver(&message, near)
+	g.sendLoads(loadsOf(changes, func(c wharffleet.Change) bool { return c.Wide }), relayed, c.others)
+	for _, contact := range c.contacts {
+		g.spreadLoads(loadsOf(changes, func(c wharffleet.Change) bool { return c.Zone == contact.Zone }), []Peer{contact})
 	}
 }
 
-// split returns the peers that are told of changes: all of a small fleet; in a large one those of the own zone, and of
-// each other zone one contact. The contacts of a zone's hosts are spread over the hosts of the other.
-func (g *Gossip) split(peers []Peer) (near, contacts []Peer) {
-	if len(peers) <= farPeers {
-		return peers, nil
-	}
-	zones := map[string]map[string]Peer{}
-	for _, p := range peers {
-		if p.Zone == g.options.Self.Zone {
-			near = append(near, p)
-			continue
+func loadsOf(changes []wharffleet.Change, wanted func(wharffleet.Change) bool) []wharffleet.Load {
+	loads := make([]wharffleet.Load, 0, len(changes))
+	for _, c := range changes {
+		if wanted(c) {
+			loads = append(loads, c.Load)
 		}
-		if p.Presence != Alive || p.Last.Leaving {
-			continue
-		}
-		if zones[p.Zone] == nil {
-			zones[p.Zone] = map[string]Peer{}
-		}
-		zones[p.Zone][p.Host] = p
 	}
-	for _, hosts := range zones {
-		contacts = append(contacts, hosts[wharfrank.First(g.options.Self.Host, slices.Collect(maps.Keys(hosts)))])
+	return loads
+}
+
+func (g *Gossip) sendLoads(loads []wharffleet.Load, relayed []Relayed, peers []Peer) {
+	if len(peers) == 0 || len(loads) == 0 && len(relayed) == 0 {
+		return
 	}
-	return near, contacts
+	message := g.options.Self
+	message.Partial, message.Loads, message.Relayed = true, loads, relayed
+	g.deliver(&message, peers)
+}
+
+func (g *Gossip) spreadLoads(loads []wharffleet.Load, contacts []Peer) {
+	if len(contacts) == 0 || len(loads) == 0 {
+		return
+	}
+	message := g.options.Self
+	message.Partial, message.Loads, message.Spread = true, loads, true
+	g.deliver(&message, contacts)
 }
 
 // relay keeps the changes of a host of another zone until the own zone is told.
@@ -137,24 +139,19 @@
 }
 
 // sendState sends the whole state, and in most rounds a brief one to other zones of a large fleet.
-func (g *Gossip) sendState(peers []Peer, round int) {
-	if len(peers) <= farPeers || round%farRounds == 0 {
-		g.sendWhole(peers)
+func (g *Gossip) sendState(c *circle, round int) {
+	if round%farRounds == 0 {
+		g.sendWhole(c.all)
 		return
 	}
-	var near, far []Peer
-	for _, p := range peers {
-		if p.Zone == g.options.Self.Zone {
-			near = append(near, p)
-			continue
-		}
-		far = append(far, p)
-	}
 	message := g.options.Self
 	g.options.Fill(&message)
-	g.deliver(&message, near)
+	g.deliver(&message, c.near)
+	if len(c.far) == 0 {
+		return
+	}
 	message.Partial, message.Brief, message.Loads, message.Levels = true, true, nil, nil
-	g.deliver(&message, far)
+	g.deliver(&message, c.far)
 }
 
 // sendWhole sends the whole state.
@@ -183,8 +180,8 @@
 	}
 }
 
-func (g *Gossip) write(conn net.PacketConn, p Peer, data []byte) {
-	_, err := conn.WriteTo(data, net.UDPAddrFromAddrPort(p.Address))
+func (g *Gossip) write(conn *net.UDPConn, p Peer, data []byte) {
+	_, err := conn.WriteToUDPAddrPort(data, p.Address)
 	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.ECONNREFUSED) {
 		klog.V(1).InfoS("gossip message not sent", "peer", p.Host, "error", err.Error())
 	}
--- a/wharf/coordination/wharflimiter/limiter_test.go
+++ b/wharf/coordination/wharflimiter/limiter_test.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		p := wharfgossip.Peer{Host: name, Incarnation: uint64(j), Presence: wharfgossip.Alive}
-		p.Last.Levels = f.levels[j]
+		p.Last = &wharfgossip.Message{Levels: f.levels[j]}
 		if f.down[j] || f.group[j] != f.group[self] {
 			p.Presence = wharfgossip.Quiet
 		}
--- a/wharf/coordination/wharfrelay/store_test.go
+++ b/wharf/coordination/wharfrelay/store_test.go
@@ -68,7 +68,7 @@
 			return reply, nil
 		},
 	})
-	f.peers = []wharfgossip.Peer{{Host: "other", Presence: wharfgossip.Alive, Last: wharfgossip.Message{Served: true}}}
+	f.peers = []wharfgossip.Peer{{Host: "other", Presence: wharfgossip.Alive, Last: &wharfgossip.Message{Served: true}}}
 	return f
 }
 
--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -24,6 +24,14 @@
 	Batch    int
 }
 
+// Change is what one host runs on an endpoint where that has changed.
+type Change struct {
+	Load
+	Zone string // of the endpoint
+	// Wide reports whether other hosts than those nearby in the ring of endpoints may have requests there.
+	Wide bool
+}
+
 // Placement is one request's place at an endpoint, held until Release.
 type Placement struct {
 	Endpoint Endpoint
@@ -42,9 +50,10 @@
 // entry is what this host knows of one endpoint; the fleet's lock guards it.
 type entry struct {
 	Endpoint
+	mark    uint64 // hash of the id, by which endpoints stand in a ring
+	index   int    // in the ring of its service and zone, if that is this host's
 	own     Load
-	others  map[string]Load // by host
-	online  int             // of all hosts
+	online  int // of all hosts
 	batch   int
 	over    time.Time // since when its slots are exceeded
 	faults  int       // in a row
@@ -54,14 +63,6 @@
 	backoff time.Duration
 }
 
-func (e *entry) sum() {
-	e.online, e.batch = e.own.Online, e.own.Batch
-	for _, load := range e.others {
-		e.online += load.Online
-		e.batch += load.Batch
-	}
-}
-
 func (e *entry) count(batch bool, change int) {
 	if batch {
 		e.own.Batch += change
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -11,12 +13,10 @@
 	// engine.
 	farWeight = 0.3
 	// largeZone is the number of slots of a zone from which its own endpoints are nearly always enough: bursts of many
-	// callers even out, and hosts of other zones tell their loads less often in large fleets.
-	largeZone = 100
-	// largeFarWeight goes before farWeight in such zones, until less than crowdedShare of the slots is free of online
-	// requests.
-	largeFarWeight = 0.01
-	crowdedShare   = 0.12
+	// callers even out, and hosts of other zones tell their loads less often in large fleets. Other zones' endpoints are
+	// left alone then, until less than crowdedShare of the slots is free of online requests.
+	largeZone    = 100
+	crowdedShare = 0.12
 	// roomPower is the power of an endpoint's free slots by which it is more likely to be chosen: more than 1, so that
 	// loads even out, and not so much that all hosts choose the emptiest.
 	roomPower = 2.0
@@ -45,11 +45,14 @@
 	zone     string
 	mu       sync.Mutex
 	entries  map[string]*entry
-	services map[string][]*entry
-	absent   map[string]map[string]Load // host → endpoint → load, of endpoints that are not known yet
+	services map[string]*service
+	reported map[string]map[string]Load // host → endpoint → what it runs there, also at endpoints that are not known yet
+	used     map[string]*entry          // registered endpoints at which this host runs something
 	dirty    map[string]bool            // endpoints at which this host's load has changed since the last Changes
 	changed  func()
 	warm     func(address netip.AddrPort) bool
+	position float64 // of this host among those of its zone, from 0 to below 1
+	hosts    int     // of its zone
 }
 
 // New returns an empty fleet as seen from a host in a zone; changed is called when this host's load changes.
@@ -58,11 +61,13 @@
 		host:     host,
 		zone:     zone,
 		entries:  map[string]*entry{},
-		services: map[string][]*entry{},
-		absent:   map[string]map[string]Load{},
+		services: map[string]*service{},
+		reported: map[string]map[string]Load{},
+		used:     map[string]*entry{},
 		dirty:    map[string]bool{},
 		changed:  changed,
 		warm:     func(netip.AddrPort) bool { return false },
+		hosts:    1,
 	}
 }
 
@@ -77,7 +82,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entries := make(map[string]*entry, len(endpoints))
-	services := map[string][]*entry{}
+	services := map[string]*service{}
 	for _, e := range endpoints {
 		known := f.entries[e.ID]
 		if known == nil || known.Address != e.Address || !known.Born.Equal(e.Born) {
@@ -85,20 +90,29 @@
 		}
 		known.Endpoint = e
 		entries[e.ID] = known
-		services[e.Service] = append(services[e.Service], known)
+		if services[e.Service] == nil {
+			services[e.Service] = &service{}
+		}
+		services[e.Service].add(known, e.Zone == f.zone)
+	}
+	for _, s := range services {
+		s.order()
 	}
 	f.entries = entries
 	f.services = services
+	for id, e := range f.used {
+		if entries[id] != e {
+			delete(f.used, id)
+		}
+	}
 }
 
 func (f *Fleet) fresh(e Endpoint) *entry {
-	added := &entry{Endpoint: e, own: Load{Endpoint: e.ID}, others: map[string]Load{}}
-	for host, loads := range f.absent {
-		if load, ok := loads[e.ID]; ok {
-			added.others[host] = load
-		}
+	added := &entry{Endpoint: e, own: Load{Endpoint: e.ID}, mark: xxhash.Sum64String(e.ID)}
+	for _, loads := range f.reported {
+		added.online += loads[e.ID].Online
+		added.batch += loads[e.ID].Batch
 	}
-	added.sum()
 	return added
 }
 
@@ -171,47 +185,34 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.forget(host)
-	reported := make(map[string]Load, len(loads))
-	for _, load := range loads {
-		reported[load.Endpoint] = load
-		if e := f.entries[load.Endpoint]; e != nil {
-			e.others[host] = load
-			e.sum()
-		}
-	}
-	f.absent[host] = reported
-}
-
-// count changes this host's load; the lock is held.
-func (f *Fleet) count(e *entry, batch bool, change int) {
-	e.count(batch, change)
-	f.dirty[e.ID] = true
-	f.changed()
-}
-
-// Changes returns what this host runs where that has changed since the last call.
-func (f *Fleet) Changes() []Load {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var loads []Load
-	for id := range f.dirty {
-		if e := f.entries[id]; e != nil {
-			loads = append(loads, e.own)
-		}
-	}
-	clear(f.dirty)
-	return loads
+	f.learn(host, loads)
 }
 
 // ReportChanges takes over what has changed in what another host runs.
 func (f *Fleet) ReportChanges(host string, loads []Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.learn(host, loads)
+}
+
+func (f *Fleet) learn(host string, loads []Load) {
+	known := f.reported[host]
+	if known == nil {
+		known = make(map[string]Load, len(loads))
+		f.reported[host] = known
+	}
 	for _, load := range loads {
+		before := known[load.Endpoint]
 		if e := f.entries[load.Endpoint]; e != nil {
-			e.others[host] = load
-			e.sum()
+			load.Endpoint = e.ID // one copy of the text for all hosts
+			e.online += load.Online - before.Online
+			e.batch += load.Batch - before.Batch
 		}
+		if load.Online == 0 && load.Batch == 0 {
+			delete(known, load.Endpoint)
+			continue
+		}
+		known[load.Endpoint] = load
 	}
 }
 
@@ -223,24 +224,50 @@
 }
 
 func (f *Fleet) forget(host string) {
-	delete(f.absent, host)
-	for _, e := range f.entries {
-		if _, ok := e.others[host]; ok {
-			delete(e.others, host)
-			e.sum()
+	for id, load := range f.reported[host] {
+		if e := f.entries[id]; e != nil {
+			e.online -= load.Online
+			e.batch -= load.Batch
+		}
+	}
+	delete(f.reported, host)
+}
+
+// count changes this host's load; the lock is held.
+func (f *Fleet) count(e *entry, batch bool, change int) {
+	e.count(batch, change)
+	if f.entries[e.ID] == e {
+		f.used[e.ID] = e
+		if e.own.Online == 0 && e.own.Batch == 0 {
+			delete(f.used, e.ID)
+			e.over = time.Time{}
 		}
 	}
+	f.dirty[e.ID] = true
+	f.changed()
+}
+
+// Changes returns what this host runs where that has changed since the last call.
+func (f *Fleet) Changes() []Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changes := make([]Change, 0, len(f.dirty))
+	for id := range f.dirty {
+		if e := f.entries[id]; e != nil {
+			changes = append(changes, Change{Load: e.own, Zone: e.Zone, Wide: f.wide(e)})
+		}
+	}
+	clear(f.dirty)
+	return changes
 }
 
 // Loads returns what this host runs.
 func (f *Fleet) Loads() []Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var loads []Load
-	for _, e := range f.entries {
-		if e.own.Online > 0 || e.own.Batch > 0 {
-			loads = append(loads, e.own)
-		}
+	loads := make([]Load, 0, len(f.used))
+	for _, e := range f.used {
+		loads = append(loads, e.own)
 	}
 	return loads
 }
@@ -251,7 +278,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	room := 0
-	for _, e := range f.services[service] {
+	for e := range f.services[service].all() {
 		if !e.Leaving && e.usable(now) {
 			room += max(0, e.Slots-e.online-e.batch)
 		}
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -36,52 +36,78 @@
 	return p, nil
 }
 
-// best draws an endpoint, the likelier the more room it has, and reports whether any works at all. With views that are
-// out of date, the endpoint that looks best would be chosen by all hosts at once (Mitzenmacher 2000, How useful is old
-// information?).
+// draw is a choice under way: the likelier an endpoint the more room it has. With views that are out of date, the
+// endpoint that looks best would be chosen by all hosts at once (Mitzenmacher 2000, How useful is old information?).
+type draw struct {
+	Request
+	now    time.Time
+	total  float64
+	free   bool // some endpoint has a free slot, which goes before one that a batch item must leave
+	slots  int  // of those that were considered and work
+	open   int  // of these, which nobody uses
+	room   int  // of these, which no online request uses
+	works  bool // some endpoint works at all
+	chosen *entry
+}
+
+// best draws an endpoint and reports whether any works at all.
 func (f *Fleet) best(r Request, now time.Time) (chosen *entry, works bool) {
-	total, free := 0.0, false
-	far := f.farWeight(r.Service, now)
-	for _, e := range f.services[r.Service] {
-		if e.Leaving || r.Avoid[e.ID] || !e.usable(now) {
-			continue
-		}
-		works = true
-		weight, open := e.weight(r)
-		if e.Zone != f.zone {
-			weight *= far
-		}
-		if weight > 0 && f.warm(e.Address) {
-			weight *= warmWeight
+	s := f.services[r.Service]
+	if s == nil {
+		return nil, false
+	}
+	d := draw{Request: r, now: now}
+	f.consider(&d, s.near, 1)
+	if !d.ample() || !d.free {
+		f.consider(&d, s.far, farWeight)
+	}
+	return d.chosen, d.works
+}
+
+// consider draws among a ring's endpoints from this host's position on: the first arc of them, and more while these are
+// crowded.
+func (f *Fleet) consider(d *draw, ring []*entry, factor float64) {
+	arc := f.arc(len(ring))
+	for i, e := range from(ring, f.position) {
+		if i >= arc && d.free && float64(d.open) >= crowdedShare*float64(d.slots) {
+			return
 		}
-		if weight <= 0 || (free && !open) {
+		if e.Leaving || !e.usable(d.now) {
 			continue
 		}
-		if open && !free {
-			free, total, chosen = true, 0, nil // a free slot goes before one that a batch item must leave
-		}
-		total += weight
-		if rand.Float64()*total < weight {
-			chosen = e
+		d.slots += e.Slots
+		d.open += max(0, e.Slots-e.online-e.batch)
+		d.room += max(0, e.Slots-e.online)
+		if d.Avoid[e.ID] {
+			continue
 		}
+		d.works = true
+		d.weigh(f, e, factor)
 	}
-	return chosen, works
 }
 
-// farWeight returns how likely endpoints of other zones are, compared to those of the own: hardly at all where the own
-// zone is large and has room.
-func (f *Fleet) farWeight(service string, now time.Time) float64 {
-	slots, room := 0, 0
-	for _, e := range f.services[service] {
-		if e.Zone == f.zone && !e.Leaving && e.usable(now) {
-			slots += e.Slots
-			room += max(0, e.Slots-e.online)
-		}
+// weigh has an endpoint take part in the draw.
+func (d *draw) weigh(f *Fleet, e *entry, factor float64) {
+	weight, open := e.weight(d.Request)
+	if weight <= 0 || (d.free && !open) {
+		return
 	}
-	if slots < largeZone || float64(room) < crowdedShare*float64(slots) {
-		return farWeight
+	if f.warm(e.Address) {
+		weight *= warmWeight
 	}
-	return largeFarWeight
+	if open && !d.free {
+		d.free, d.total, d.chosen = true, 0, nil
+	}
+	weight *= factor
+	d.total += weight
+	if rand.Float64()*d.total < weight {
+		d.chosen = e
+	}
+}
+
+// ample reports whether the own zone's endpoints are enough: they are many, and have room beside online requests.
+func (d *draw) ample() bool {
+	return d.slots >= largeZone && float64(d.room) >= crowdedShare*float64(d.slots)
 }
 
 // weight returns how likely the endpoint is chosen, 0 for never, and whether it has a free slot.
--- /dev/null
+++ b/wharf/state/wharffleet/ring_test.go
@@ -0,0 +1,162 @@
+package wharffleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"wagtailwharf.example/wharf/state/wharfpick"
+)
+
+// zoneOf returns endpoints of one zone and, where far is not 0, of another.
+func zoneOf(near, far int) []Endpoint {
+	var list []Endpoint
+	for i := range near + far {
+		e := Endpoint{
+			ID: fmt.Sprintf("e%d", i), Service: "s", Zone: "near", Slots: slots,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+		}
+		if i >= near {
+			e.Zone = "far"
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// TestHostsOfALargeZoneShareEachEndpointWithFew plays requests of 75 hosts at 750 endpoints.
+func TestHostsOfALargeZoneShareEachEndpointWithFew(t *testing.T) {
+	const hosts, endpoints, each = 75, 750, 40
+	users, placed, covered := map[string]map[int]bool{}, map[string]int{}, map[string]bool{}
+	for host := range hosts {
+		f := New("me", "near", func() {})
+		f.Update(zoneOf(endpoints, endpoints))
+		f.Settle(host, hosts)
+		for range each {
+			p := pick(t, f, false)
+			if users[p.Endpoint.ID] == nil {
+				users[p.Endpoint.ID] = map[int]bool{}
+			}
+			users[p.Endpoint.ID][host] = true
+			placed[p.Endpoint.ID]++
+			assert.Equal(t, p.Endpoint.Zone, "near")
+		}
+		for _, change := range f.Changes() {
+			assert.Assert(t, !change.Wide, "%s is in the part that neighbours hear about", change.Endpoint)
+		}
+		for id, e := range f.entries {
+			covered[id] = covered[id] || !f.wide(e)
+		}
+		assert.Equal(t, f.Reach(), float64(leastArc)/endpoints)
+	}
+	assert.Equal(t, len(covered), 2*endpoints)
+	for _, e := range zoneOf(endpoints, 0) {
+		assert.Assert(t, covered[e.ID], "%s has no hosts", e.ID)
+	}
+	most := 0
+	for id, hosts := range users {
+		assert.Assert(t, len(hosts) <= leastArc*75/endpoints+1, "%s is used by %d hosts", id, len(hosts))
+		most = max(most, placed[id])
+	}
+	assert.Assert(t, most <= 4*each*hosts/endpoints, "the busiest endpoint has %d of %d on average", most, each*hosts/endpoints)
+}
+
+func TestHostWithFullEndpointsGoesOn(t *testing.T) {
+	const arc = leastArc
+	f := New("me", "near", func() {})
+	f.Update(zoneOf(3*arc, arc))
+	f.Settle(3, 20)
+	seen := map[string]bool{}
+	wide := false
+	for range 3 * arc * slots * 85 / 100 {
+		p := pick(t, f, false)
+		assert.Equal(t, p.Endpoint.Zone, "near", "the own zone goes first")
+		seen[p.Endpoint.ID] = true
+	}
+	assert.Assert(t, len(seen) > 2*arc, "%d endpoints", len(seen))
+	for _, change := range f.Changes() {
+		wide = wide || change.Wide
+	}
+	assert.Assert(t, wide, "others than neighbours have to hear of it")
+	for range 3*arc*slots - 3*arc*slots*85/100 + arc*slots {
+		pick(t, f, false)
+	}
+	_, err := f.Pick(Request{Service: "s"})
+	assert.ErrorIs(t, err, wharfpick.ErrFull)
+}
+
+// TestLoadsAddUpWhateverComes checks what is counted step by step against a count from the beginning.
+func TestLoadsAddUpWhateverComes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New("me", "near", func() {})
+		all := zoneOf(4, 2)
+		f.Update(all[:3])
+		var placements []*Placement
+		host := rapid.SampledFrom([]string{"a", "b", "c"})
+		load := rapid.Custom(func(t *rapid.T) Load {
+			return Load{
+				Endpoint: rapid.SampledFrom(all).Draw(t, "endpoint").ID,
+				Online:   rapid.IntRange(0, 3).Draw(t, "online"),
+				Batch:    rapid.IntRange(0, 3).Draw(t, "batch"),
+			}
+		})
+		oneEach := func(l Load) string { return l.Endpoint }
+		told := map[string]map[string]Load{}
+		t.Repeat(map[string]func(*rapid.T){
+			"report": func(t *rapid.T) {
+				name, loads := host.Draw(t, "host"), rapid.SliceOfDistinct(load, oneEach).Draw(t, "loads")
+				f.Report(name, loads)
+				told[name] = map[string]Load{}
+				for _, l := range loads {
+					told[name][l.Endpoint] = l
+				}
+			},
+			"changes": func(t *rapid.T) {
+				name, loads := host.Draw(t, "host"), rapid.SliceOfDistinct(load, oneEach).Draw(t, "loads")
+				f.ReportChanges(name, loads)
+				if told[name] == nil {
+					told[name] = map[string]Load{}
+				}
+				for _, l := range loads {
+					told[name][l.Endpoint] = l
+				}
+			},
+			"forget": func(t *rapid.T) {
+				name := host.Draw(t, "host")
+				f.Forget(name)
+				delete(told, name)
+			},
+			"update": func(t *rapid.T) { f.Update(all[:rapid.IntRange(0, len(all)).Draw(t, "count")]) },
+			"pick": func(t *rapid.T) {
+				if p, err := f.Pick(Request{Service: "s", Batch: rapid.Bool().Draw(t, "batch")}); err == nil {
+					placements = append(placements, p)
+				}
+			},
+			"release": func(*rapid.T) {
+				if len(placements) > 0 {
+					placements[0].Release()
+					placements = placements[1:]
+				}
+			},
+			"": func(t *rapid.T) {
+				used := 0
+				for id, e := range f.entries {
+					online, batch := e.own.Online, e.own.Batch
+					for _, loads := range told {
+						online += loads[id].Online
+						batch += loads[id].Batch
+					}
+					assert.Equal(t, e.online, online, id)
+					assert.Equal(t, e.batch, batch, id)
+					if e.own.Online+e.own.Batch > 0 {
+						used++
+					}
+				}
+				assert.Equal(t, len(f.Loads()), used)
+			},
+		})
+	})
+}
--- a/wharf/state/wharffleet/yield.go
+++ b/wharf/state/wharffleet/yield.go
@@ -18,17 +18,17 @@
 	if e.own.Batch > 0 {
 		return f.host, true
 	}
-	return e.yielders(f.host)[0], true
+	return f.yielders(e)[0], true
 }
 
-// yielders returns the hosts that run batch items, those with most of them first.
-func (e *entry) yielders(self string) []string {
+// yielders returns the hosts that run batch items at an endpoint, those with most of them first.
+func (f *Fleet) yielders(e *entry) []string {
 	batch := map[string]int{}
 	if e.own.Batch > 0 {
-		batch[self] = e.own.Batch
+		batch[f.host] = e.own.Batch
 	}
-	for host, load := range e.others {
-		if load.Batch > 0 {
+	for host, loads := range f.reported {
+		if load := loads[e.ID]; load.Batch > 0 {
 			batch[host] = load.Batch
 		}
 	}
@@ -37,26 +37,26 @@
 	})
 }
 
-// Overfull returns the endpoints whose slots have been exceeded for a while, counting all hosts, and at which it falls
-// to this host to stop batch items.
+// Overfull returns the endpoints at which this host runs batch items, whose slots have been exceeded for a while,
+// counting all hosts, and at which it falls to this host to stop batch items.
 func (f *Fleet) Overfull() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	var overfull []string
-	for id, e := range f.entries {
+	for id, e := range f.used {
 		excess := e.online + e.batch - e.Slots
-		if excess <= 0 {
+		if excess <= 0 || e.own.Batch == 0 {
 			e.over = time.Time{}
 			continue
 		}
 		if e.over.IsZero() {
 			e.over = now
 		}
-		if e.own.Batch == 0 || now.Sub(e.over) < overfullAfter {
+		if now.Sub(e.over) < overfullAfter {
 			continue
 		}
-		yielders := e.yielders(f.host)
+		yielders := f.yielders(e)
 		if slices.Contains(yielders[:min(excess, len(yielders))], f.host) {
 			e.over = now
 			overfull = append(overfull, id)
