Levels of rates go without names

Cause: of a whole state of 2 KB nine tenths are names and floats of 70 organisations; at 300 hosts whole states to other zones are most of 0.612 GB between zones (225 of them each 13 s from each host).

--- a/wharf/coordination/wharfgossip/gossip_test.go
+++ b/wharf/coordination/wharfgossip/gossip_test.go
@@ -183,11 +183,11 @@
 
 func TestBriefStatesLeaveLevelsAsTheyWere(t *testing.T) {
 	a := start(t, "a", "near")
-	levels := []Level{{Organisation: "o", Tokens: 3}}
+	levels := Levels{Roll: 7, Tokens: []byte{0, 48}}
 	a.accept(&Message{Host: "b", Incarnation: 5, Sequence: 1, Levels: levels})
 	a.accept(&Message{Host: "b", Incarnation: 5, Sequence: 2, Partial: true, Brief: true, Leaving: true, Informed: 9})
 	peer, _ := a.Peer("b")
-	assert.Equal(t, peer.Last.Levels[0], levels[0])
+	assert.DeepEqual(t, peer.Last.Levels, levels)
 	assert.Assert(t, peer.Last.Leaving)
 	assert.Equal(t, peer.Last.Informed, uint64(9))
 }
--- a/wharf/coordination/wharfgossip/message.go
+++ b/wharf/coordination/wharfgossip/message.go
@@ -21,7 +21,7 @@
 	Stranded    bool   // neither the store nor another host does
 	Informed    uint64 // version of the store up to which the host knows configuration and endpoints
 	Loads       []wharffleet.Load
-	Levels      []Level
+	Levels      Levels
 	Yields      []string // endpoints at which the receiver should stop a batch item
 	Spread      bool     // the receiver tells the hosts of its zone
 	Relayed     []Relayed
@@ -36,9 +36,9 @@
 	Loads       []wharffleet.Load
 }
 
-// Level is what a host has left of its part of an organisation's burst.
-type Level struct {
-	_            struct{} `cbor:",toarray"`
-	Organisation string
-	Tokens       float32
+// Levels is what a host has left of its part of each organisation's burst.
+type Levels struct {
+	_      struct{} `cbor:",toarray"`
+	Roll   uint64   // names the organisations and the order in which they are counted
+	Tokens []byte   // two bytes each
 }
--- a/wharf/coordination/wharfgossip/scale_test.go
+++ b/wharf/coordination/wharfgossip/scale_test.go
@@ -61,12 +61,8 @@
 	return changes
 }
 
-func someLevels(count int) []Level {
-	levels := make([]Level, count)
-	for i := range levels {
-		levels[i] = Level{Organisation: fmt.Sprintf("organisation-%d", i), Tokens: 1}
-	}
-	return levels
+func someLevels(count int) Levels {
+	return Levels{Roll: 1 << 60, Tokens: make([]byte, 2*count)}
 }
 
 func BenchmarkSendChanges(b *testing.B) {
--- a/wharf/coordination/wharfgossip/spread.go
+++ b/wharf/coordination/wharfgossip/spread.go
@@ -150,7 +150,7 @@
 	if len(c.far) == 0 {
 		return
 	}
-	message.Partial, message.Brief, message.Loads, message.Levels = true, true, nil, nil
+	message.Partial, message.Brief, message.Loads, message.Levels = true, true, nil, Levels{}
 	g.deliver(&message, c.far)
 }
 
--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -30,7 +30,7 @@
 	// over many hosts in parts of a token, and what is known of their levels is a little old.
 	pullPeers  = 5
 	pullRounds = 3
-	// leastLevel is the smallest part of a token that other hosts are told of.
+	// leastLevel is the smallest part of a token that is worth asking for.
 	leastLevel = 0.1
 	// dryPeriod is how long requests are refused without asking again once no host had a token.
 	dryPeriod = 100 * time.Millisecond
@@ -62,6 +62,7 @@
 	parts   map[string]*part
 	holders int
 	known   []wharfroute.Organisation
+	roll    *roll
 	pulls   singleflight.Group
 }
 
@@ -75,7 +76,7 @@
 
 // New returns a limiter without organisations.
 func New(options Options) *Limiter {
-	return &Limiter{options: options, parts: map[string]*part{}, holders: provisionalHolders}
+	return &Limiter{options: options, parts: map[string]*part{}, holders: provisionalHolders, roll: newRoll(nil)}
 }
 
 // Configure takes over the organisations' limits.
@@ -83,6 +84,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.known = organisations
+	l.roll = newRoll(organisations)
 	l.resize()
 }
 
@@ -254,15 +256,16 @@
 
 // richest returns the hosts that have tokens, those with the highest levels first.
 func (l *Limiter) richest(organisation string) []richPeer {
+	l.mu.Lock()
+	roll := l.roll
+	l.mu.Unlock()
 	var peers []richPeer
 	for _, p := range l.options.Peers() {
 		if p.Presence != wharfgossip.Alive {
 			continue
 		}
-		for _, level := range p.Last.Levels {
-			if level.Organisation == organisation {
-				peers = append(peers, richPeer{p, float64(level.Tokens)})
-			}
+		if level := roll.read(p.Last.Levels, organisation); level >= leastLevel {
+			peers = append(peers, richPeer{p, level})
 		}
 	}
 	slices.SortFunc(peers, func(a, b richPeer) int { return cmp.Compare(b.tokens, a.tokens) })
@@ -281,17 +284,11 @@
 }
 
 // Levels returns what is left of each part.
-func (l *Limiter) Levels() []wharfgossip.Level {
+func (l *Limiter) Levels() wharfgossip.Levels {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	levels := make([]wharfgossip.Level, 0, len(l.parts))
-	for name, p := range l.parts {
-		if tokens := p.share.Level(now); tokens >= leastLevel {
-			levels = append(levels, wharfgossip.Level{Organisation: name, Tokens: float32(tokens)})
-		}
-	}
-	return levels
+	return l.roll.pack(func(name string) float64 { return l.parts[name].share.Level(now) })
 }
 
 // Serve asks for tokens ahead of demand until ctx ends.
--- a/wharf/coordination/wharflimiter/limiter_test.go
+++ b/wharf/coordination/wharflimiter/limiter_test.go
@@ -22,7 +22,7 @@
 	names   []string
 	group   []int // hosts of different groups can't reach each other
 	down    []bool
-	levels  [][]wharfgossip.Level
+	levels  []wharfgossip.Levels
 	limits  []wharfroute.Organisation
 	spent   []time.Time
 	refused int
@@ -33,7 +33,7 @@
 	f.hosts = make([]*Limiter, hosts)
 	f.group = make([]int, hosts)
 	f.down = make([]bool, hosts)
-	f.levels = make([][]wharfgossip.Level, hosts)
+	f.levels = make([]wharfgossip.Levels, hosts)
 	for i := range hosts {
 		f.names = append(f.names, string(rune('a'+i)))
 		f.start(i, true)
