Hosts read who else there is before they write their own row

Cause: a host read the other hosts' rows only after its own had been written. Those that are not served know nobody: they tell nobody of their requests and hear nothing. Change: reading comes first; the first writing is spread over 10 ms for each host known, failures double the pause, and while hosts settle they read again and do not write again. Rows are written and read each 70 ms x hosts, at least 5 s as before, so that bytes at the store grow with hosts; a host's part of the rates is shared out after 3.2 such periods (16 s as before up to 71 hosts). Test: TestHostsFindEachOtherWhileTheStoreTakesNoRows, which failed before.

--- a/wagtailwharfd/wharfhost/cluster_test.go
+++ b/wagtailwharfd/wharfhost/cluster_test.go
@@ -31,7 +31,7 @@
 
 // cluster is a store, endpoints and daemons in one process.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	store     *wharfstandin.Store
 	server    *httptest.Server
 	endpoints []*wharfstandin.Endpoint
@@ -48,7 +48,7 @@
 	once sync.Once
 }
 
-func newCluster(t *testing.T, hosts, endpoints int) *cluster {
+func newCluster(t testing.TB, hosts, endpoints int) *cluster {
 	t.Helper()
 	store := wharfstandin.NewStore()
 	c := &cluster{t: t, store: store, server: httptest.NewServer(store)}
@@ -105,7 +105,7 @@
 var nextPort atomic.Int64
 
 // freePort returns a port of loopback that nothing uses, for connections and datagrams.
-func freePort(t *testing.T) netip.AddrPort {
+func freePort(t testing.TB) netip.AddrPort {
 	t.Helper()
 	for range ports {
 		port := firstPort + (int64(os.Getpid())*100+nextPort.Add(1))%ports
--- a/wagtailwharfd/wharfhost/members.go
+++ b/wagtailwharfd/wharfhost/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -15,16 +16,22 @@
 
 const (
 	hostTable = "wharf-hosts"
-	// refreshPeriod is the time between two writings of a host's row, and between two readings of all.
-	refreshPeriod = 5 * time.Second
-	// firstPeriod is the same until the row is written for the first time.
-	firstPeriod = 300 * time.Millisecond
-	// settlePeriod is the same for the first seconds, in which all hosts start.
-	settlePeriod = time.Second
-	settleFor    = 5 * time.Second
-	// lostAfter is the time without a change of its row and without a word from it after which a host's part of the
-	// rates is shared out: a host that can neither write its row nor reach others stops using its part earlier.
-	lostAfter = 16 * time.Second
+	// refreshPeriod is the time between two writings of a host's row, and between two readings of all. In large fleets it
+	// is refreshPerHost for each host, so that the rows that all hosts read grow with the hosts and not with their square.
+	refreshPeriod  = 5 * time.Second
+	refreshPerHost = 70 * time.Millisecond
+	// firstPause is the mean pause after a call that the store has not answered; it doubles from failure to failure, up to
+	// refreshPeriod.
+	firstPause = 300 * time.Millisecond
+	// writeSpread is the time over which a host spreads its first writing, for each host: all rows stand in one part of the
+	// table, which takes 200 transactions a second on the platforms known, and all hosts may start at once.
+	writeSpread = 10 * time.Millisecond
+	// settleParts is the part of that period, as a divisor, in the first seconds, in which all hosts start.
+	settleParts = 5
+	settleFor   = 5 * time.Second
+	// lostPeriods is the number of periods without a change of its row and without a word from it after which a host's part
+	// of the rates is shared out: a host that can neither write its row nor reach others stops using its part earlier.
+	lostPeriods = 3.2
 	// memberCall bounds one call of the store.
 	memberCall = time.Second
 )
@@ -53,27 +60,51 @@
 	written uint64
 }
 
-// serve writes this host's row and reads the others' until ctx ends.
+// serve reads the rows of the other hosts and writes this host's until ctx ends. The others are read first: without them
+// this host would not know whom to tell of its requests, however long the store takes to write.
 func (m *members) serve(ctx context.Context) error {
-	started := time.Now()
+	started, due, pause := time.Now(), time.Time{}, firstPause
 	for {
-		err := m.refresh(ctx)
-		period := refreshPeriod
+		err := m.read(ctx)
+		if err == nil && !time.Now().Before(due) {
+			err = m.write(ctx, due.IsZero())
+			if err == nil {
+				due = time.Now().Add(m.period())
+			}
+		}
+		wait := m.period()
 		switch {
 		case err != nil:
 			klog.InfoS("membership not refreshed", "error", err.Error())
-			period = firstPeriod
+			wait = pause/2 + rand.N(pause)
+			pause = min(2*pause, refreshPeriod)
 		case time.Since(started) < settleFor:
-			period = settlePeriod
+			wait /= settleParts
+		}
+		if err == nil {
+			pause = firstPause
 		}
 		m.host.limiter.SetHolders(m.holders())
-		if !wharfpause.For(ctx, period) {
+		if !wharfpause.For(ctx, wait) {
 			return ctx.Err()
 		}
 	}
 }
 
-func (m *members) refresh(ctx context.Context) error {
+// period returns the time between two readings of all rows.
+func (m *members) period() time.Duration {
+	return periodOf(m.known() + 1)
+}
+
+func periodOf(hosts int) time.Duration {
+	return max(refreshPeriod, time.Duration(hosts)*refreshPerHost)
+}
+
+// write writes this host's row; the first time it waits for its turn.
+func (m *members) write(ctx context.Context, first bool) error {
+	if first && !wharfpause.For(ctx, rand.N(time.Duration(m.known()+1)*writeSpread)) {
+		return ctx.Err()
+	}
 	ctx, cancel := context.WithTimeout(ctx, memberCall)
 	defer cancel()
 	m.written++
@@ -89,9 +120,12 @@
 	_, err = m.host.store.Commit(ctx, wharfrecords.Transaction{
 		Puts: []wharfrecords.Row{{Table: hostTable, Key: m.host.settings.Host, Value: row}},
 	})
-	if err != nil {
-		return err
-	}
+	return err
+}
+
+func (m *members) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, memberCall)
+	defer cancel()
 	page, err := wharfrecords.ReadAll(ctx, m.host.store, wharfrecords.Range{Table: hostTable})
 	if err != nil {
 		return err
@@ -100,6 +134,13 @@
 	return nil
 }
 
+// known returns the number of other hosts that have rows.
+func (m *members) known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.seen)
+}
+
 func (m *members) take(page wharfrecords.Page) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -143,6 +184,7 @@
 		return 0
 	}
 	count := 1
+	lostAfter := time.Duration(lostPeriods * float64(periodOf(len(m.seen)+1)))
 	for _, p := range m.host.gossip.Peers() {
 		row, hasRow := m.seen[p.Host]
 		lost := hasRow && now.Sub(row.since) > lostAfter && now.Sub(p.Heard) > lostAfter
--- /dev/null
+++ b/wagtailwharfd/wharfhost/members_test.go
@@ -0,0 +1,48 @@
+package wharfhost
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/wharf/coordination/wharfgossip"
+	"wagtailwharf.example/wharf/coordination/wharfrecords"
+)
+
+func TestHostsFindEachOtherWhileTheStoreTakesNoRows(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	for _, h := range c.hosts {
+		h.kill()
+	}
+	c.store.SetFault(func(call string) error {
+		if call == "commit" {
+			return wharfrecords.ErrUnavailable
+		}
+		return nil
+	})
+	var again []*running
+	for _, h := range c.hosts[:3] {
+		again = append(again, c.restart(h))
+	}
+	c.await("all know each other", func() bool {
+		for _, h := range again {
+			if h.members.holders() != 3 {
+				return false
+			}
+			for _, p := range h.gossip.Peers() {
+				if p.Presence != wharfgossip.Alive {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	assert.Equal(t, c.send(again[0], keyA, "POST", "/resume/", "1", "").Status, 200)
+}
+
+func TestRowsOfLargeFleetsAreReadLessOften(t *testing.T) {
+	for hosts, want := range map[int]time.Duration{1: 5 * time.Second, 66: 5 * time.Second, 300: 21 * time.Second} {
+		assert.Equal(t, periodOf(hosts), want)
+	}
+}
