--- a/wharf/state/wharffleet/ring_test.go
+++ b/wharf/state/wharffleet/ring_test.go
@@ -88,74 +88,94 @@
 	assert.ErrorIs(t, err, wharfpick.ErrFull)
 }
 
-// TestLoadsAddUpWhateverComes checks what is counted step by step against a count from the beginning.
+// counted is a fleet beside a count of what it was told from the beginning.
+type counted struct {
+	*Fleet
+	endpoints  []Endpoint
+	told       map[string]map[string]Load
+	placements []*Placement
+}
+
+var anyHost = rapid.SampledFrom([]string{"a", "b", "c"})
+
+func (c *counted) anyLoads(t *rapid.T) []Load {
+	load := rapid.Custom(func(t *rapid.T) Load {
+		return Load{
+			Endpoint: rapid.SampledFrom(c.endpoints).Draw(t, "endpoint").ID,
+			Online:   rapid.IntRange(0, 3).Draw(t, "online"),
+			Batch:    rapid.IntRange(0, 3).Draw(t, "batch"),
+		}
+	})
+	return rapid.SliceOfDistinct(load, func(l Load) string { return l.Endpoint }).Draw(t, "loads")
+}
+
+func (c *counted) tell(host string, loads []Load) {
+	if c.told[host] == nil {
+		c.told[host] = map[string]Load{}
+	}
+	for _, l := range loads {
+		c.told[host][l.Endpoint] = l
+	}
+}
+
+func (c *counted) report(t *rapid.T) {
+	host, loads := anyHost.Draw(t, "host"), c.anyLoads(t)
+	c.Report(host, loads)
+	delete(c.told, host)
+	c.tell(host, loads)
+}
+
+func (c *counted) change(t *rapid.T) {
+	host, loads := anyHost.Draw(t, "host"), c.anyLoads(t)
+	c.ReportChanges(host, loads)
+	c.tell(host, loads)
+}
+
+func (c *counted) forget(t *rapid.T) {
+	host := anyHost.Draw(t, "host")
+	c.Forget(host)
+	delete(c.told, host)
+}
+
+func (c *counted) place(t *rapid.T) {
+	if p, err := c.Pick(Request{Service: "s", Batch: rapid.Bool().Draw(t, "batch")}); err == nil {
+		c.placements = append(c.placements, p)
+	}
+}
+
+func (c *counted) end(*rapid.T) {
+	if len(c.placements) > 0 {
+		c.placements[0].Release()
+		c.placements = c.placements[1:]
+	}
+}
+
+func (c *counted) check(t *rapid.T) {
+	used := 0
+	for id, e := range c.entries {
+		online, batch := e.own.Online, e.own.Batch
+		if online+batch > 0 {
+			used++
+		}
+		for _, loads := range c.told {
+			online += loads[id].Online
+			batch += loads[id].Batch
+		}
+		assert.Equal(t, e.online, online, id)
+		assert.Equal(t, e.batch, batch, id)
+	}
+	assert.Equal(t, len(c.Loads()), used)
+}
+
+// TestLoadsAddUpWhateverComes checks what is counted step by step.
 func TestLoadsAddUpWhateverComes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := New("me", "near", func() {})
-		all := zoneOf(4, 2)
-		f.Update(all[:3])
-		var placements []*Placement
-		host := rapid.SampledFrom([]string{"a", "b", "c"})
-		load := rapid.Custom(func(t *rapid.T) Load {
-			return Load{
-				Endpoint: rapid.SampledFrom(all).Draw(t, "endpoint").ID,
-				Online:   rapid.IntRange(0, 3).Draw(t, "online"),
-				Batch:    rapid.IntRange(0, 3).Draw(t, "batch"),
-			}
-		})
-		oneEach := func(l Load) string { return l.Endpoint }
-		told := map[string]map[string]Load{}
+		c := &counted{Fleet: New("me", "near", func() {}), endpoints: zoneOf(4, 2), told: map[string]map[string]Load{}}
+		c.Update(c.endpoints[:3])
 		t.Repeat(map[string]func(*rapid.T){
-			"report": func(t *rapid.T) {
-				name, loads := host.Draw(t, "host"), rapid.SliceOfDistinct(load, oneEach).Draw(t, "loads")
-				f.Report(name, loads)
-				told[name] = map[string]Load{}
-				for _, l := range loads {
-					told[name][l.Endpoint] = l
-				}
-			},
-			"changes": func(t *rapid.T) {
-				name, loads := host.Draw(t, "host"), rapid.SliceOfDistinct(load, oneEach).Draw(t, "loads")
-				f.ReportChanges(name, loads)
-				if told[name] == nil {
-					told[name] = map[string]Load{}
-				}
-				for _, l := range loads {
-					told[name][l.Endpoint] = l
-				}
-			},
-			"forget": func(t *rapid.T) {
-				name := host.Draw(t, "host")
-				f.Forget(name)
-				delete(told, name)
-			},
-			"update": func(t *rapid.T) { f.Update(all[:rapid.IntRange(0, len(all)).Draw(t, "count")]) },
-			"pick": func(t *rapid.T) {
-				if p, err := f.Pick(Request{Service: "s", Batch: rapid.Bool().Draw(t, "batch")}); err == nil {
-					placements = append(placements, p)
-				}
-			},
-			"release": func(*rapid.T) {
-				if len(placements) > 0 {
-					placements[0].Release()
-					placements = placements[1:]
-				}
-			},
-			"": func(t *rapid.T) {
-				used := 0
-				for id, e := range f.entries {
-					online, batch := e.own.Online, e.own.Batch
-					for _, loads := range told {
-						online += loads[id].Online
-						batch += loads[id].Batch
-					}
-					assert.Equal(t, e.online, online, id)
-					assert.Equal(t, e.batch, batch, id)
-					if e.own.Online+e.own.Batch > 0 {
-						used++
-					}
-				}
-				assert.Equal(t, len(f.Loads()), used)
+			"report": c.report, "change": c.change, "forget": c.forget, "place": c.place, "end": c.end, "": c.check,
+			"update": func(t *rapid.T) {
+				c.Update(c.endpoints[:rapid.IntRange(0, len(c.endpoints)).Draw(t, "count")])
 			},
 		})
 	})
