Hosts that the store does not serve ask different ones of their zone

Change: any host of the own zone that knows more, else any of another. Test: TestHostsThatKnowLessAskDifferentOnesOfTheirZone.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -260,26 +261,43 @@
 // errNoPeer says that no host has heard from the store more recently.
 var errNoPeer = errors.New("no host has heard from the store more recently")
 
-// askPeer asks the host that has heard from the store most recently.
+// askPeer asks a host that has heard from the store more recently.
 func (h *Host) askPeer(ctx context.Context) (wharfdirectory.Snapshot, error) {
-	best := wharfgossip.Peer{Last: &wharfgossip.Message{}}
-	for _, p := range h.gossip.Peers() {
-		if p.Presence == wharfgossip.Alive && p.Last.Informed > best.Last.Informed {
-			best = p
-		}
-	}
-	if best.Last.Informed <= h.directory.Informed() {
+	p, found := informant(h.gossip.Peers(), h.settings.Zone, h.directory.Informed())
+	if !found {
 		return wharfdirectory.Snapshot{}, errNoPeer
 	}
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	snapshot, err := h.calls.Snapshot(ctx, best.Address)
+	snapshot, err := h.calls.Snapshot(ctx, p.Address)
 	if err != nil {
-		klog.InfoS("peer did not tell what it knows", "peer", best.Host, "error", err.Error())
+		klog.InfoS("peer did not tell what it knows", "peer", p.Host, "error", err.Error())
 	}
 	return snapshot, err
 }
 
+// informant returns any of the hosts that know more than a version of the store, one of the own zone if there is one: the
+// host that knows most would be asked by all.
+func informant(peers []wharfgossip.Peer, zone string, known uint64) (wharfgossip.Peer, bool) {
+	var near, far []wharfgossip.Peer
+	for _, p := range peers {
+		switch {
+		case p.Presence != wharfgossip.Alive || p.Last.Informed <= known:
+		case p.Zone == zone:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return wharfgossip.Peer{}, false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
 // askLimit bounds the question for another host's knowledge.
 const askLimit = 500 * time.Millisecond
 
--- a/wagtailwharfd/wharfhost/members_test.go
+++ b/wagtailwharfd/wharfhost/members_test.go
@@ -1,6 +1,7 @@
 package wharfhost
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,3 +47,25 @@
 		assert.Equal(t, periodOf(hosts), want)
 	}
 }
+
+func TestHostsThatKnowLessAskDifferentOnesOfTheirZone(t *testing.T) {
+	var peers []wharfgossip.Peer
+	for i, zone := range []string{"near", "near", "near", "far", "far"} {
+		peers = append(peers, wharfgossip.Peer{
+			Host: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Presence: wharfgossip.Alive, Last: &wharfgossip.Message{Informed: uint64(5 + i)},
+		})
+	}
+	peers[2].Presence = wharfgossip.Quiet
+	asked := map[string]int{}
+	for range 200 {
+		p, found := informant(peers, "near", 4)
+		assert.Assert(t, found)
+		asked[p.Host]++
+	}
+	assert.Equal(t, len(asked), 2, "%v", asked)
+	p, found := informant(peers, "near", 7)
+	assert.Assert(t, found)
+	assert.Equal(t, p.Zone, "far", "nobody near knows more")
+	_, found = informant(peers, "near", 9)
+	assert.Assert(t, !found)
+}
