Hosts tell each other which endpoints break requests off

Ruled out: crashes by those requests (the endpoints answered nobody), requests under way when the endpoints went (the resets go on for as long as requests come). Change: with a change of load a host tells how many requests were broken off and answered; five broken off in a row, whoever sent them, keep requests away, for a time that differs from host to host, until one host has an answer. A host's own faults count as before and stay its own. A request that may run once is not what tries such an endpoint again while there are others, and one that is broken off where others just were is not taken for the cause.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -194,7 +194,10 @@
 // receive takes over what another host says.
 func (h *Host) receive(m *wharfgossip.Message) {
 	if m.Partial {
-		h.fleet.ReportChanges(m.Host, m.Loads)
+		for _, e := range h.fleet.ReportChanges(m.Host, m.Loads) {
+			klog.InfoS("endpoint avoided on the word of peers", "endpoint", e.Endpoint, "broken-off-in-a-row", e.Run,
+				"for", e.For.String(), "peer", m.Host)
+		}
 	} else {
 		h.fleet.Report(m.Host, m.Loads)
 	}
--- a/wharf/coordination/wharfgossip/gossip_test.go
+++ b/wharf/coordination/wharfgossip/gossip_test.go
@@ -225,3 +225,17 @@
 	peer, _ := a.Peer("b")
 	assert.Assert(t, !peer.Last.Leaving, "a relayed message makes no older one of the host itself new")
 }
+
+func TestFaultsOfChangesThatAreToldTogetherAddUp(t *testing.T) {
+	g := New(Options{Self: Message{Host: "contact", Zone: "near"}})
+	for sequence, load := range []wharffleet.Load{
+		{Endpoint: "e", Online: 2, Faults: 1}, {Endpoint: "e", Online: 1, Faults: 1, Served: 1}, {Endpoint: "other", Online: 1},
+	} {
+		g.relay(&Message{Host: "a", Incarnation: 1, Sequence: uint64(sequence + 1), Loads: []wharffleet.Load{load}})
+	}
+	relayed := g.takeRelays()
+	assert.Equal(t, len(relayed), 1)
+	assert.DeepEqual(t, relayed[0].Loads, []wharffleet.Load{
+		{Endpoint: "e", Online: 1, Faults: 2, Served: 1}, {Endpoint: "other", Online: 1},
+	})
+}
--- a/wharf/coordination/wharfgossip/spread.go
+++ b/wharf/coordination/wharfgossip/spread.go
@@ -106,6 +106,8 @@
 	for _, load := range m.Loads {
 		same := func(l wharffleet.Load) bool { return l.Endpoint == load.Endpoint }
 		if i := slices.IndexFunc(kept.Loads, same); i >= 0 {
+			load.Faults += kept.Loads[i].Faults
+			load.Served += kept.Loads[i].Served
 			kept.Loads[i] = load
 			continue
 		}
--- a/wharf/coordination/wharfjobrunner/finish.go
+++ b/wharf/coordination/wharfjobrunner/finish.go
@@ -73,7 +73,7 @@
 		i.notBefore = now.Add(i.breakPause())
 	}
 	if outcome.Verdict != 0 && outcome.Verdict.EndpointFault() {
-		placement.Fail(outcome.Verdict == wharfverdict.NotSent || outcome.Verdict == wharfverdict.Misplaced)
+		placement.Fail(outcome.Verdict)
 	}
 	if pause := now.Add(declinePause); i.notBefore.Before(pause) {
 		i.notBefore = pause
--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -22,6 +22,10 @@
 	Endpoint string
 	Online   int
 	Batch    int
+	// Faults and Served are how many requests the endpoint has broken off and answered since the last change that was told;
+	// a whole state leaves them out.
+	Faults int
+	Served int
 }
 
 // Change is what one host runs on an endpoint where that has changed.
@@ -40,11 +44,13 @@
 	// Online and Batch are what ran at the endpoint as this host knew when it placed the request.
 	Online int
 	Batch  int
-	fleet  *Fleet
-	entry  *entry
-	batch  bool
-	silent bool
-	done   bool
+	// Suspect reports whether the endpoint had just broken off other requests, of any host.
+	Suspect bool
+	fleet   *Fleet
+	entry   *entry
+	batch   bool
+	silent  bool
+	done    bool
 }
 
 // entry is what this host knows of one endpoint; the fleet's lock guards it.
@@ -56,8 +62,11 @@
 	online  int // of all hosts
 	batch   int
 	over    time.Time // since when its slots are exceeded
-	faults  int       // in a row
+	faults  int       // of this host in a row
+	run     int       // requests broken off in a row, of all hosts as far as they have told
+	runAt   time.Time // of the last of them
 	until   time.Time // no request is sent before, but for a trial
+	told    bool      // until follows from what other hosts have told alone
 	silent  int       // requests of this host that have waited for long for their first event
 	trial   bool      // one request is on its way to learn whether it works again
 	backoff time.Duration
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -24,19 +24,14 @@
 	// endpoint, and hosts with different connections choose the same free slot less often. It outweighs two more free
 	// slots of eight, not three.
 	warmWeight = 2.0
-	// silentWeight makes an endpoint less likely at which a request of this host waits for long.
+	// silentWeight makes an endpoint less likely at which a request of this host waits for long, or that has just broken off
+	// requests while this one may not run twice.
 	silentWeight = 0.05
 	// quietParts is the part of its slots, as a fraction's divisor, below which an endpoint's online load is light.
 	quietParts = 4
 	// overfullAfter is how long an endpoint's slots may be exceeded before hosts stop batch items unasked: as long as
 	// reports and requests to stop take.
 	overfullAfter = 150 * time.Millisecond
-	// firstBackoff is the time without requests after a fault that shows an endpoint to be down; longestBackoff bounds
-	// its growth below the time in which a crashed endpoint is usually back.
-	firstBackoff   = 300 * time.Millisecond
-	longestBackoff = 2 * time.Second
-	// faultsToEject is the number of faults in a row, of a kind that a working endpoint shows at times, that ejects it.
-	faultsToEject = 3
 )
 
 // Fleet holds the endpoints and chooses among them; it is safe for concurrent use.
@@ -150,36 +145,6 @@
 	p.entry.silent--
 }
 
-// Succeed records that the endpoint works.
-func (p *Placement) Succeed() {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	e := p.entry
-	e.faults, e.until, e.backoff, e.trial = 0, time.Time{}, 0, false
-}
-
-// Fail records a fault; one that shows the endpoint to be down, or several in a row, keep requests away for a time that
-// doubles. It returns that time, or 0.
-func (p *Placement) Fail(down bool) time.Duration {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	return p.entry.fail(down, time.Now())
-}
-
-func (e *entry) fail(down bool, now time.Time) time.Duration {
-	e.faults++
-	e.trial = false
-	if !down && e.faults < faultsToEject {
-		return 0
-	}
-	if e.until.After(now) {
-		return e.until.Sub(now)
-	}
-	e.backoff = min(max(2*e.backoff, firstBackoff), longestBackoff)
-	e.until = now.Add(e.backoff)
-	return e.backoff
-}
-
 // Report takes over what another host runs.
 func (f *Fleet) Report(host string, loads []Load) {
 	f.mu.Lock()
@@ -188,11 +153,13 @@
 	f.learn(host, loads)
 }
 
-// ReportChanges takes over what has changed in what another host runs.
-func (f *Fleet) ReportChanges(host string, loads []Load) {
+// ReportChanges takes over what has changed in what another host runs. It returns the endpoints that get no requests for a
+// while because of it.
+func (f *Fleet) ReportChanges(host string, loads []Load) []Ejection {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.learn(host, loads)
+	return f.hear(loads)
 }
 
 func (f *Fleet) learn(host string, loads []Load) {
@@ -205,6 +172,7 @@
 		before := known[load.Endpoint]
 		if e := f.entries[load.Endpoint]; e != nil {
 			load.Endpoint = e.ID // one copy of the text for all hosts
+			load.Faults, load.Served = 0, 0
 			e.online += load.Online - before.Online
 			e.batch += load.Batch - before.Batch
 		}
@@ -255,6 +223,7 @@
 	for id := range f.dirty {
 		if e := f.entries[id]; e != nil {
 			changes = append(changes, Change{Load: e.own, Zone: e.Zone, Wide: f.wide(e)})
+			e.own.Faults, e.own.Served = 0, 0
 		}
 	}
 	clear(f.dirty)
@@ -267,7 +236,9 @@
 	defer f.mu.Unlock()
 	loads := make([]Load, 0, len(f.used))
 	for _, e := range f.used {
-		loads = append(loads, e.own)
+		load := e.own
+		load.Faults, load.Served = 0, 0
+		loads = append(loads, load)
 	}
 	return loads
 }
@@ -279,7 +250,7 @@
 	now := time.Now()
 	room := 0
 	for e := range f.services[service].all() {
-		if !e.Leaving && e.usable(now) {
+		if !e.Leaving && e.usable(false, now) {
 			room += max(0, e.Slots-e.online-e.batch)
 		}
 	}
--- a/wharf/state/wharffleet/fleet_test.go
+++ b/wharf/state/wharffleet/fleet_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"wagtailwharf.example/wharf/state/wharfpick"
+	"wagtailwharf.example/wharf/state/wharfverdict"
 )
 
 const slots = 8
@@ -114,7 +115,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("near")
 		p := pick(t, f, false)
-		assert.Equal(t, p.Fail(true), firstBackoff)
+		assert.Equal(t, p.Fail(wharfverdict.NotSent), firstBackoff)
 		p.Release()
 		_, err := f.Pick(Request{Service: "s"})
 		assert.Assert(t, errors.Is(err, wharfpick.ErrNone))
@@ -131,11 +132,11 @@
 	f := newFleet("near")
 	for range faultsToEject - 1 {
 		p := pick(t, f, false)
-		assert.Equal(t, p.Fail(false), time.Duration(0))
+		assert.Equal(t, p.Fail(wharfverdict.Silent), time.Duration(0))
 		p.Release()
 	}
 	p := pick(t, f, false)
-	assert.Equal(t, p.Fail(false), firstBackoff)
+	assert.Equal(t, p.Fail(wharfverdict.Silent), firstBackoff)
 }
 
 func TestSilentEndpointGetsFewRequests(t *testing.T) {
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -13,6 +13,7 @@
 	Service string
 	Avoid   map[string]bool // endpoints that have failed this request
 	Batch   bool
+	Once    bool // it may not run a second time
 	// Reserve is the number of slots of each endpoint that a batch item leaves free beside those for online requests.
 	Reserve int
 }
@@ -23,6 +24,10 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	best, full := f.best(r, now)
+	if best == nil && r.Once {
+		r.Once = false // an endpoint that has failed is better than none
+		best, full = f.best(r, now)
+	}
 	if best == nil {
 		if full {
 			return nil, wharfpick.ErrFull
@@ -30,6 +35,7 @@
 		return nil, wharfpick.ErrNone
 	}
 	p := &Placement{Endpoint: best.Endpoint, fleet: f, entry: best, batch: r.Batch, Online: best.online, Batch: best.batch}
+	p.Suspect = best.suspect(now)
 	p.Crowded = !r.Batch && best.batch > 0 && best.online+best.batch >= best.Slots
 	best.trial = !best.until.IsZero()
 	f.count(best, r.Batch, 1)
@@ -72,7 +78,7 @@
 		if i >= arc && d.free && float64(d.open) >= crowdedShare*float64(d.slots) {
 			return
 		}
-		if e.Leaving || !e.usable(d.now) {
+		if e.Leaving || !e.usable(d.Once, d.now) {
 			continue
 		}
 		d.slots += e.Slots
@@ -98,6 +104,9 @@
 	if open && !d.free {
 		d.free, d.total, d.chosen = true, 0, nil
 	}
+	if d.Once && e.suspect(d.now) {
+		weight *= silentWeight
+	}
 	weight *= factor
 	d.total += weight
 	if rand.Float64()*d.total < weight {
@@ -141,11 +150,3 @@
 	}
 	return 1
 }
-
-// usable reports whether requests may be sent; after a fault a single trial goes first.
-func (e *entry) usable(now time.Time) bool {
-	if e.until.IsZero() {
-		return true
-	}
-	return !e.until.After(now) && !e.trial
-}
--- a/wharf/transport/wharffront/online.go
+++ b/wharf/transport/wharffront/online.go
@@ -119,7 +119,7 @@
 		Weight:       wharfpatience.Weight(o.route, o.organisation),
 		Patience:     wharfpatience.Wait(o.route, time.Since(o.call.Arrived), o.sends > 0),
 		Pick: func(time.Time) (*wharffleet.Placement, error) {
-			return o.server.options.Fleet.Pick(wharffleet.Request{Service: o.service, Avoid: o.avoid})
+			return o.server.options.Fleet.Pick(wharffleet.Request{Service: o.service, Avoid: o.avoid, Once: !o.route.Repeatable()})
 		},
 	})
 	o.waited += time.Since(begun)
@@ -216,10 +216,11 @@
 	case v == wharfverdict.CallerGone:
 		return
 	case v.EndpointFault():
-		placement.Fail(v == wharfverdict.NotSent || v == wharfverdict.Misplaced)
+		placement.Fail(v)
 	}
 	o.avoid[placement.Endpoint.ID] = true
-	if v == wharfverdict.Broken && o.events == 0 { // a request that crashes endpoints does so as it starts
+	// A request that crashes endpoints does so as it starts. One that broke off others just before is broken by itself.
+	if v == wharfverdict.Broken && o.events == 0 && !placement.Suspect {
 		s.options.Strike(o.fingerprint, false)
 	}
 }
