--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -25,7 +25,7 @@
 	// slots of eight, not three.
 	warmWeight = 2.0
 	// silentWeight makes an endpoint less likely at which a request of this host waits for long, or that has just broken off
-	// requests while this one may not run twice.
+	// requests while this one has no attempt left after it.
 	silentWeight = 0.05
 	// quietParts is the part of its slots, as a fraction's divisor, below which an endpoint's online load is light.
 	quietParts = 4
--- a/wharf/state/wharffleet/health.go
+++ b/wharf/state/wharffleet/health.go
@@ -122,8 +122,8 @@
 	return e.run > 0 && now.Sub(e.runAt) < suspectFor
 }
 
-// usable reports whether requests may be sent; after a fault a single trial goes first, not one that may run only once
-// while there are others.
+// usable reports whether requests may be sent; after a fault a single trial goes first, and where there are other
+// endpoints not one that has no attempt left after it.
 func (e *entry) usable(once bool, now time.Time) bool {
 	if e.until.IsZero() {
 		return true
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -13,7 +13,7 @@
 	Service string
 	Avoid   map[string]bool // endpoints that have failed this request
 	Batch   bool
-	Once    bool // it may not run a second time
+	Once    bool // it has no attempt left after this one
 	// Reserve is the number of slots of each endpoint that a batch item leaves free beside those for online requests.
 	Reserve int
 }
--- a/wharf/transport/wharffront/online.go
+++ b/wharf/transport/wharffront/online.go
@@ -119,7 +119,7 @@
 		Weight:       wharfpatience.Weight(o.route, o.organisation),
 		Patience:     wharfpatience.Wait(o.route, time.Since(o.call.Arrived), o.sends > 0),
 		Pick: func(time.Time) (*wharffleet.Placement, error) {
-			return o.server.options.Fleet.Pick(wharffleet.Request{Service: o.service, Avoid: o.avoid, Once: !o.route.Repeatable()})
+			return o.server.options.Fleet.Pick(wharffleet.Request{Service: o.service, Avoid: o.avoid, Once: !o.mayMove()})
 		},
 	})
 	o.waited += time.Since(begun)
@@ -160,8 +160,7 @@
 	if placement.Crowded {
 		s.options.Yield(placement.Endpoint.ID)
 	}
-	mayMove := o.route.Repeatable() && o.runs+1 < o.route.MaxAttempts
-	first, gap := wharfpatience.Silence(o.route, mayMove, o.left())
+	first, gap := wharfpatience.Silence(o.route, o.mayMove(), o.left())
 	o.sends++
 	outcome := s.options.Forwarder.Do(ctx, &wharfforward.Exchange{
 		Call:      &o.call,
@@ -179,6 +178,11 @@
 	return outcome
 }
 
+// mayMove reports whether another attempt is left if the next one fails.
+func (o *online) mayMove() bool {
+	return o.route.Repeatable() && o.runs+1 < o.route.MaxAttempts
+}
+
 func (o *online) attempt(placement *wharffleet.Placement) wharfcall.Attempt {
 	return wharfcall.Attempt{
 		Endpoint:     placement.Endpoint.ID,
