Hosts that start at once no longer take themselves for the only one; the soak cuts hosts from each other

Cause: since hosts read the rows of the others before they write their own, hosts that start at once all read an empty table, and each held the whole of every rate until it heard of the others. Change: the number of hosts counts as known by a reading after the own row has been written, as before. The soak's new faults: a host cut from the others both ways or one way, zones from each other, slow paths; the daemons' peers are behind proxies that relay datagrams too, which takes the setting peers-advertised. No promise is excused by them. The causes of regressions are printed.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -89,8 +89,9 @@
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.Touch() })
 	h.fleet.PreferWarm(h.channels.Warm)
 	h.gossip = wharfgossip.New(wharfgossip.Options{
+		Listen: settings.Peers,
 		Self: wharfgossip.Message{
-			Host: settings.Host, Zone: settings.Zone, Address: settings.Peers, Incarnation: h.incarnation,
+			Host: settings.Host, Zone: settings.Zone, Address: settings.PeerAddress(), Incarnation: h.incarnation,
 		},
 		Fill:    h.fill,
 		Changes: h.fleet.Changes,
--- a/wagtailwharfd/wharfhost/members.go
+++ b/wagtailwharfd/wharfhost/members.go
@@ -55,22 +55,27 @@
 	host    *Host
 	mu      sync.Mutex
 	seen    map[string]sighting
-	settled bool // the rows have been read
+	listed  bool // this host's row has been written
+	settled bool // the rows have been read since
 	started time.Time
 	written uint64
 }
 
 // serve reads the rows of the other hosts and writes this host's until ctx ends. The others are read first: without them
-// this host would not know whom to tell of its requests, however long the store takes to write.
+// this host would not know whom to tell of its requests, however long the store takes to write. How many hosts there are is
+// known by a reading after the own row has been written only: of two hosts that start at once one sees the other by then.
 func (m *members) serve(ctx context.Context) error {
 	started, due, pause := time.Now(), time.Time{}, firstPause
 	for {
 		err := m.read(ctx)
 		if err == nil && !time.Now().Before(due) {
-			err = m.write(ctx, due.IsZero())
-			if err == nil {
+			first := due.IsZero()
+			if err = m.write(ctx, first); err == nil {
 				due = time.Now().Add(m.period())
 			}
+			if err == nil && first {
+				err = m.read(ctx)
+			}
 		}
 		wait := m.period()
 		switch {
@@ -110,7 +115,7 @@
 	m.written++
 	row, err := cbor.Marshal(member{
 		Zone:        m.host.settings.Zone,
-		Address:     m.host.settings.Peers,
+		Address:     m.host.settings.PeerAddress(),
 		Incarnation: m.host.incarnation,
 		Refreshed:   m.written,
 	})
@@ -120,6 +125,11 @@
 	_, err = m.host.store.Commit(ctx, wharfrecords.Transaction{
 		Puts: []wharfrecords.Row{{Table: hostTable, Key: m.host.settings.Host, Value: row}},
 	})
+	if err == nil {
+		m.mu.Lock()
+		m.listed = true
+		m.mu.Unlock()
+	}
 	return err
 }
 
@@ -170,7 +180,7 @@
 		}
 	}
 	m.seen = seen
-	m.settled = true
+	m.settled = m.listed
 }
 
 // holders returns the number of hosts that hold a part of each rate, this one included. A host whose port refuses
--- a/wagtailwharfd/wharfhost/members_test.go
+++ b/wagtailwharfd/wharfhost/members_test.go
@@ -69,3 +69,30 @@
 	_, found = informant(peers, "near", 9)
 	assert.Assert(t, !found)
 }
+
+// TestHostsThatStartAtOnceDoNotTakeThemselvesForTheOnlyOne starts hosts whose rows are not written yet when they read.
+func TestHostsThatStartAtOnceDoNotTakeThemselvesForTheOnlyOne(t *testing.T) {
+	c := newCluster(t, 0, 1)
+	c.store.SetFault(func(call string) error {
+		if call == "commit" {
+			return wharfrecords.ErrUnavailable
+		}
+		return nil
+	})
+	for _, name := range []string{"one", "other"} {
+		c.start(name)
+	}
+	c.await("both have read the rows", func() bool {
+		return c.hosts[0].table() != nil && c.hosts[1].table() != nil
+	})
+	for range 10 {
+		for _, h := range c.hosts {
+			assert.Equal(t, h.members.holders(), 0, "the number is not known")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.store.SetFault(nil)
+	c.await("each knows of the other", func() bool {
+		return c.hosts[0].members.holders() == 2 && c.hosts[1].members.holders() == 2
+	})
+}
--- a/wharf-load/wharfproxy/proxy.go
+++ b/wharf-load/wharfproxy/proxy.go
@@ -21,13 +21,16 @@
 	DropOut   bool          // nothing goes from callers to the target
 	DropBack  bool          // nothing goes from the target to callers
 	Unplugged bool          // new connections are reset
+	// From are addresses from which nothing comes through, and nothing goes back to.
+	From map[netip.Addr]bool
 }
 
 // Proxy relays connections to a target; it is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
-	target   netip.AddrPort
+	address  netip.AddrPort
 	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	target   netip.AddrPort
 	faults   Faults
 	changed  chan struct{} // closed at the next change of faults
 	open     map[net.Conn]bool
@@ -39,18 +42,47 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[net.Conn]bool{}}
-	go p.serve(ctx)
+	p := &Proxy{
+		address: netip.MustParseAddrPort(listener.Addr().String()), listener: listener, target: target,
+		changed: make(chan struct{}), open: map[net.Conn]bool{},
+	}
+	go p.serve(ctx, listener)
 	context.AfterFunc(ctx, func() {
-		_ = listener.Close()
+		p.Refuse()
 		p.Reset()
 	})
 	return p, nil
 }
 
+// Refuse has new connections refused, as an address does at which no process listens.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
+
+// Accept ends Refuse; the error is the operating system's.
+func (p *Proxy) Accept(ctx context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address.String())
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.serve(ctx, listener)
+	return nil
+}
+
 // Address returns where the proxy listens.
 func (p *Proxy) Address() netip.AddrPort {
-	return netip.MustParseAddrPort(p.listener.Addr().String())
+	return p.address
 }
 
 // SetFaults replaces the present faults.
@@ -92,11 +124,11 @@
 	return p.faults, p.changed, p.target
 }
 
-func (p *Proxy) serve(ctx context.Context) {
+func (p *Proxy) serve(ctx context.Context, listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
-			return // the listener is closed when ctx ends
+			return // the listener is closed by Refuse and when ctx ends
 		}
 		faults, _, target := p.current()
 		if faults.Unplugged {
@@ -116,8 +148,9 @@
 	}
 	defer p.hold(back)()
 	var ways sync.WaitGroup
-	ways.Go(func() { p.copy(ctx, back, caller, func(f Faults) bool { return f.DropOut }) })
-	ways.Go(func() { p.copy(ctx, caller, back, func(f Faults) bool { return f.DropBack }) })
+	from := netip.MustParseAddrPort(caller.RemoteAddr().String()).Addr()
+	ways.Go(func() { p.copy(ctx, back, caller, func(f Faults) bool { return f.DropOut || f.From[from] }) })
+	ways.Go(func() { p.copy(ctx, caller, back, func(f Faults) bool { return f.DropBack || f.From[from] }) })
 	ways.Wait()
 	_ = caller.Close()
 	_ = back.Close()
--- a/wharf-load/wharfproxy/proxy_test.go
+++ b/wharf-load/wharfproxy/proxy_test.go
@@ -115,3 +115,59 @@
 	}
 	assert.ErrorContains(t, err, "reset")
 }
+
+func TestRefusesAndAcceptsAgain(t *testing.T) {
+	p := startProxy(t)
+	p.Refuse()
+	p.Refuse()
+	_, err := net.Dial("tcp", p.Address().String())
+	assert.ErrorContains(t, err, "refused")
+	assert.NilError(t, p.Accept(t.Context()))
+	assert.NilError(t, p.Accept(t.Context()))
+	text, err := exchange(dial(t, p), "hello", long)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "hello")
+}
+
+func TestCutsSomeCallersOff(t *testing.T) {
+	p := startProxy(t)
+	p.SetFaults(Faults{From: map[netip.Addr]bool{netip.MustParseAddr("127.0.0.1"): true}})
+	_, err := exchange(dial(t, p), "hello", short)
+	assert.ErrorContains(t, err, "timeout")
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	other, err := dialer.Dial("tcp", p.Address().String())
+	assert.NilError(t, err)
+	defer func() { _ = other.Close() }()
+	_, err = exchange(other, "hello", long)
+	assert.NilError(t, err)
+}
+
+func TestDatagrams(t *testing.T) {
+	target, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer func() { _ = target.Close() }()
+	p, err := Start(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(target.LocalAddr().String()))
+	assert.NilError(t, err)
+	assert.NilError(t, p.RelayDatagrams(t.Context()))
+	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(p.Address()))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	arrives := func(text string, within time.Duration) error {
+		_, err := io.WriteString(conn, text)
+		assert.NilError(t, err)
+		assert.NilError(t, target.SetReadDeadline(time.Now().Add(within)))
+		buffer := make([]byte, len(text))
+		n, _, err := target.ReadFromUDPAddrPort(buffer)
+		if err == nil {
+			assert.Equal(t, string(buffer[:n]), text)
+		}
+		return err
+	}
+	assert.NilError(t, arrives("first", long))
+	p.SetFaults(Faults{From: map[netip.Addr]bool{netip.MustParseAddr("127.0.0.1"): true}})
+	assert.ErrorContains(t, arrives("lost", short), "timeout")
+	p.SetFaults(Faults{Delay: short})
+	begun := time.Now()
+	assert.NilError(t, arrives("late", long))
+	assert.Assert(t, time.Since(begun) >= short)
+}
--- a/wharf-load/wharfseries/series.go
+++ b/wharf-load/wharfseries/series.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,6 +45,7 @@
 // series is a series on its way.
 type series struct {
 	options Options
+	causes  map[uint64]string // of the seeds that have failed before
 	out     io.Writer
 	mu      sync.Mutex
 	failed  []uint64
@@ -50,11 +53,12 @@
 
 // Run plays the seeds and writes a line for each to out; the error is ErrFailed.
 func Run(ctx context.Context, options Options, out io.Writer) error {
-	seeds, err := options.seeds()
+	causes, err := known()
 	if err != nil {
 		return err
 	}
-	s := &series{options: options, out: out}
+	seeds := options.seeds(causes)
+	s := &series{options: options, causes: causes, out: out}
 	queue := make(chan uint64)
 	var players sync.WaitGroup
 	for range max(1, options.Parallel) {
@@ -75,21 +79,28 @@
 	return nil
 }
 
-func (o *Options) seeds() ([]uint64, error) {
+// known returns the causes of the seeds that have failed before.
+func known() (map[uint64]string, error) {
+	var list struct {
+		Failed []struct {
+			Seed  uint64 `toml:"seed"`
+			Cause string `toml:"cause"`
+		} `toml:"failed"`
+	}
+	if _, err := toml.Decode(regressions, &list); err != nil {
+		return nil, err
+	}
+	causes := map[uint64]string{}
+	for _, f := range list.Failed {
+		causes[f.Seed] = f.Cause
+	}
+	return causes, nil
+}
+
+func (o *Options) seeds(causes map[uint64]string) []uint64 {
 	var seeds []uint64
 	if o.Regressions {
-		var known struct {
-			Failed []struct {
-				Seed  uint64 `toml:"seed"`
-				Cause string `toml:"cause"`
-			} `toml:"failed"`
-		}
-		if _, err := toml.Decode(regressions, &known); err != nil {
-			return nil, err
-		}
-		for _, f := range known.Failed {
-			seeds = append(seeds, f.Seed)
-		}
+		seeds = slices.Sorted(maps.Keys(causes))
 	}
 	first := o.First
 	if first == 0 {
@@ -98,7 +109,7 @@
 	for i := range o.Seeds {
 		seeds = append(seeds, first+uint64(i))
 	}
-	return seeds, nil
+	return seeds
 }
 
 func (s *series) play(ctx context.Context, seed uint64) {
@@ -123,6 +134,9 @@
 	}
 	s.print("seed %d %s after %v: %d requests, %d served, %d refused, %d jobs, %d faults", seed, verdict,
 		result.Took.Round(time.Second), result.Requests, result.Served, result.Refused, result.Jobs, len(result.Events))
+	if cause := s.causes[seed]; cause != "" {
+		s.print("  failed before: %s", cause)
+	}
 	if err == nil {
 		return
 	}
--- a/wharf-load/wharfsoak/check_test.go
+++ b/wharf-load/wharfsoak/check_test.go
@@ -159,6 +159,6 @@
 	assert.DeepEqual(t, fmt.Sprint(first), fmt.Sprint(again))
 	assert.Assert(t, fmt.Sprint(first) != fmt.Sprint(other))
 	for _, e := range first {
-		assert.Assert(t, kinds[e.kind] != nil && e.at < time.Second && e.lasts <= longestFault)
+		assert.Assert(t, faultOf(e.kind) != nil && e.at < time.Second && e.lasts <= longestFault)
 	}
 }
--- a/wharf-load/wharfsoak/faults.go
+++ b/wharf-load/wharfsoak/faults.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -33,6 +34,8 @@
 	// that an endpoint fails.
 	lostReplies = 0.3
 	greyShare   = 0.4
+	// mostCuts is the largest number of faults between hosts.
+	mostCuts = 3
 	// herdShare is the share of the hosts that are killed at once.
 	herdShare = 0.6
 	// rowAfterCrash is how long the row of a crashed endpoint stays.
@@ -54,8 +57,11 @@
 	return fmt.Sprintf("%v %s host %d endpoint %d for %v", e.at.Round(time.Millisecond), e.kind, e.host, e.endpoint, e.lasts.Round(time.Millisecond))
 }
 
-// kinds are the faults by name; each function returns once its fault is over.
-var kinds = map[string]func(ctx context.Context, s *site, e event){
+// fault brings a fault about and returns once it is over.
+type fault func(ctx context.Context, s *site, e event)
+
+// kinds are the faults by name, but for those between hosts.
+var kinds = map[string]fault{
 	"host-kill": func(ctx context.Context, s *site, e event) { s.killHosts(ctx, s.hosts[e.host:e.host+1], e.lasts) },
 	"host-kill-series": func(ctx context.Context, s *site, e event) {
 		for range 3 {
@@ -137,15 +143,22 @@
 	},
 }
 
-// draw returns the faults of a run in the order in which they begin; several may last at once.
+// draw returns the faults of a run in the order in which they begin; several may last at once. Those between hosts are
+// drawn apart, so that seeds from before them bring the same others.
 func draw(random *rand.Rand, s *site) []event {
-	var names []string
-	for name := range kinds {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+	events := drawFrom(random, kinds, leastEvents+random.IntN(moreEvents), s)
+	between := newRandom(^s.options.Seed)
+	events = append(events, drawFrom(between, hostCuts, between.IntN(mostCuts+1), s)...)
+	slices.SortFunc(events, func(a, b event) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.kind, b.kind))
+	})
+	return events
+}
+
+func drawFrom(random *rand.Rand, from map[string]fault, count int, s *site) []event {
+	names := slices.Sorted(maps.Keys(from))
 	var events []event
-	for range leastEvents + random.IntN(moreEvents) {
+	for range count {
 		events = append(events, event{
 			at:       time.Duration(random.Int64N(int64(s.options.Length))),
 			lasts:    shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault))),
@@ -155,9 +168,6 @@
 			draw:     random.Float64(),
 		})
 	}
-	slices.SortFunc(events, func(a, b event) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.kind, b.kind))
-	})
 	return events
 }
 
@@ -168,7 +178,7 @@
 	for _, e := range events {
 		running.Go(func() {
 			if wharfpause.For(ctx, e.at-time.Since(begun)) {
-				kinds[e.kind](ctx, s, e)
+				faultOf(e.kind)(ctx, s, e)
 			}
 		})
 	}
@@ -183,12 +193,12 @@
 	}
 	wharfpause.For(ctx, down)
 	for _, h := range hosts {
-		s.startAgain(h)
+		s.startAgain(ctx, h)
 	}
 }
 
-func (s *site) startAgain(h *host) {
-	if err := s.startHost(h, false); err != nil {
+func (s *site) startAgain(ctx context.Context, h *host) {
+	if err := s.startHost(ctx, h, false); err != nil {
 		s.findings.add("%s could not be started again: %v", h.name, err)
 	}
 }
@@ -224,7 +234,7 @@
 		s.findings.add("%s ended a planned stop with exit code %d", h.name, code)
 	}
 	wharfpause.For(ctx, down)
-	s.startAgain(h)
+	s.startAgain(ctx, h)
 }
 
 // cutStore cuts hosts from the store, in one of the ways in which a path fails.
--- a/wharf-load/wharfsoak/site.go
+++ b/wharf-load/wharfsoak/site.go
@@ -63,15 +63,17 @@
 	withdrawn     []span // when the passing key was away, from the store's answer on
 }
 
-// host is a daemon with its way to the store.
+// host is a daemon with its way to the store, and that of other hosts to it.
 type host struct {
 	*wharfprocess.Process
 	name    string
+	ip      netip.Addr
 	file    string
 	text    string
 	callers string
 	ready   string
 	store   *wharfproxy.Proxy
+	peers   *wharfproxy.Proxy
 	faults  faultSpans  // kills, pauses, cuts
 	stops   faultSpans  // planned stops
 	ending  atomic.Bool // it was told to end
@@ -167,13 +169,24 @@
 			return err
 		}
 	}
+	peers, err := wharfproxy.Start(ctx, netip.AddrPortFrom(ip, 0), ports[2])
+	if err != nil {
+		return err
+	}
+	if err := peers.RelayDatagrams(ctx); err != nil {
+		return err
+	}
 	name := fmt.Sprint("host-", index)
-	h := &host{name: name, file: filepath.Join(s.options.Dir, name+".toml"), callers: ports[0].String(), ready: ports[1].String(), store: proxy}
-	h.text = fmt.Sprintf(settings, name, zoneOf(index), ports[0], ports[1], ports[2], ports[3], proxy.Address(), memoryMegabytes, stopLimit, keepJobs)
+	h := &host{
+		name: name, ip: ip, file: filepath.Join(s.options.Dir, name+".toml"), callers: ports[0].String(), ready: ports[1].String(),
+		store: proxy, peers: peers,
+	}
+	h.text = fmt.Sprintf(settings, name, zoneOf(index), ports[0], ports[1], ports[2], peers.Address(), ports[3], proxy.Address(),
+		memoryMegabytes, stopLimit, keepJobs)
 	h.Process = wharfprocess.New(filepath.Join(s.options.Dir, name+".log"), filepath.Join(s.options.Bin, "wagtailwharfd"),
 		"routes", "--settings", h.file)
 	s.hosts = append(s.hosts, h)
-	return s.startHost(h, true)
+	return s.startHost(ctx, h, true)
 }
 
 const settings = `host = %q
@@ -181,6 +194,7 @@
 callers = %q
 readiness = %q
 peers = %q
+peers-advertised = %q
 metrics = %q
 store = %q
 memory-mb = %d
@@ -203,7 +217,7 @@
 }
 
 // startHost starts a daemon unless it runs, and reports if it ends untold.
-func (s *site) startHost(h *host, first bool) error {
+func (s *site) startHost(ctx context.Context, h *host, first bool) error {
 	h.start.Lock()
 	defer h.start.Unlock()
 	if h.Running() {
@@ -217,9 +231,13 @@
 		return err
 	}
 	h.ending.Store(false)
+	if err := h.peers.Accept(ctx); err != nil {
+		return err
+	}
 	done := h.Done()
 	go func() {
 		<-done
+		h.peers.Refuse()
 		if !h.ending.Load() {
 			s.findings.add("%s ended by itself with exit code %d", h.name, h.ExitCode())
 		}
@@ -246,7 +264,7 @@
 }
 
 // clearFaults ends what faults have left behind.
-func (s *site) clearFaults() {
+func (s *site) clearFaults(ctx context.Context) {
 	s.store.SetFault(nil)
 	for i, e := range s.endpoints {
 		e.proxy.SetFaults(wharfproxy.Faults{})
@@ -262,8 +280,9 @@
 	}
 	for _, h := range s.hosts {
 		h.store.SetFaults(wharfproxy.Faults{})
+		h.peers.SetFaults(wharfproxy.Faults{})
 		_ = h.Signal(syscall.SIGCONT) // one that has ended is started
-		s.startAgain(h)
+		s.startAgain(ctx, h)
 	}
 }
 
--- a/wharf-load/wharfsoak/soak.go
+++ b/wharf-load/wharfsoak/soak.go
@@ -66,7 +66,7 @@
 	load.Go(func() { t.serve(trafficCtx) })
 	events := draw(random, s)
 	s.play(ctx, events)
-	s.clearFaults()
+	s.clearFaults(ctx)
 	s.awaitRecovery(ctx)
 	calm := time.Now()
 	wharfpause.For(ctx, calmTime)
--- a/wharf/coordination/wharfgossip/gossip.go
+++ b/wharf/coordination/wharfgossip/gossip.go
@@ -58,6 +58,7 @@
 
 // Options are a gossip's settings and hooks; hooks may be called from several goroutines.
 type Options struct {
+	Listen  netip.AddrPort             // for datagrams; others send them to the address in Self
 	Self    Message                    // host, zone, address and incarnation
 	Fill    func(m *Message)           // adds the present state before a message is sent
 	Changes func() []wharffleet.Change // returns what has changed since the last call
@@ -160,7 +161,7 @@
 
 // Serve sends and receives until ctx ends.
 func (g *Gossip) Serve(ctx context.Context) error {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(g.options.Self.Address))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(g.options.Listen))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/wharf/coordination/wharfgossip/gossip_test.go
+++ b/wharf/coordination/wharfgossip/gossip_test.go
@@ -29,8 +29,9 @@
 	assert.NilError(t, err)
 	h := &host{address: netip.MustParseAddrPort(listener.Addr().String()), presence: map[string]Presence{}}
 	h.Gossip = New(Options{
-		Self: Message{Host: name, Zone: zone, Address: h.address, Incarnation: 1},
-		Fill: func(m *Message) { m.Loads = []wharffleet.Load{{Endpoint: "whole", Online: 1}} },
+		Listen: h.address,
+		Self:   Message{Host: name, Zone: zone, Address: h.address, Incarnation: 1},
+		Fill:   func(m *Message) { m.Loads = []wharffleet.Load{{Endpoint: "whole", Online: 1}} },
 		Changes: func() []wharffleet.Change {
 			return []wharffleet.Change{{Load: wharffleet.Load{Endpoint: "change", Online: 1}}}
 		},
--- a/wharf/protocol/wharfhostsettings/settings.go
+++ b/wharf/protocol/wharfhostsettings/settings.go
@@ -16,6 +16,7 @@
 	Callers    netip.AddrPort `toml:"callers"`
 	Readiness  netip.AddrPort `toml:"readiness"`
 	Peers      netip.AddrPort `toml:"peers"`
+	Advertised netip.AddrPort `toml:"peers-advertised"` // where other hosts reach Peers, if that is another address
 	Metrics    netip.AddrPort `toml:"metrics"`
 	Store      netip.AddrPort `toml:"store"`
 	FirstStart bool           `toml:"first-start"`
@@ -46,6 +47,14 @@
 	}
 }
 
+// PeerAddress returns the address at which other hosts reach this one, for calls and datagrams.
+func (s *Settings) PeerAddress() netip.AddrPort {
+	if s.Advertised.IsValid() {
+		return s.Advertised
+	}
+	return s.Peers
+}
+
 // Read reads and checks a file.
 func Read(path string) (Settings, error) {
 	return wharfsettings.ReadInto(path, Default(), (*Settings).Validate)
@@ -71,6 +80,7 @@
 	} {
 		require(address.IsValid() && address.Port() > 0, "%s must be an IP address with a port", name)
 	}
+	require(s.Advertised == netip.AddrPort{} || s.Advertised.Port() > 0, "peers-advertised must be an IP address with a port, or left out")
 	require(s.Memory >= leastMemory, "memory-mb must be at least %d", leastMemory)
 	require(s.Stop.Limit > 0, "stop.limit must be longer than 0")
 	require(s.Jobs.Keep > 0, "jobs.keep must be longer than 0")
--- a/wharf/protocol/wharfhostsettings/settings_test.go
+++ b/wharf/protocol/wharfhostsettings/settings_test.go
@@ -39,6 +39,7 @@
 		{`host = "h"`, `host = ""`, "host is missing"},
 		{`"10.0.0.1:82"`, `"here"`, "peers"},
 		{`store = "10.0.0.2:84"`, "", "store must be an IP address with a port"},
+		{`store =`, "peers-advertised = \"10.0.0.9:0\"\nstore =", "peers-advertised must be an IP address with a port"},
 		{`memory-mb = 154`, `memory-mb = 8`, "memory-mb must be at least 64"},
 		{`limit = "8s"`, `limit = "soon"`, "soon"},
 		{`keep = "120s"`, `kept = "120s"`, "unknown key"},
@@ -48,3 +49,12 @@
 		assert.ErrorContains(t, err, c.says)
 	}
 }
+
+func TestPeersUseTheAdvertisedAddress(t *testing.T) {
+	s, err := Parse([]byte(valid))
+	assert.NilError(t, err)
+	assert.Equal(t, s.PeerAddress().String(), "10.0.0.1:82")
+	s, err = Parse([]byte("peers-advertised = \"10.9.0.1:4000\"\n" + valid))
+	assert.NilError(t, err)
+	assert.Equal(t, s.PeerAddress().String(), "10.9.0.1:4000")
+}
