--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -110,4 +110,26 @@
 mutant stop-repeated-cuts wagtailwharfd/main.go \
 	's/received == os\.Interrupt/received != nil/' ./wagtailwharfd TestOnlyASecondInterruptCutsADrainShort
 
+fleet=./wharf/state/wharffleet
+mutant word-of-peers-ignored wharf/state/wharffleet/health.go \
+	's/if e\.run >= runToEject && !e\.until\.After\(now\)/if false/' $fleet TestHostsLearnFromEachOtherThatAnEndpointBreaksOff
+mutant answers-of-peers-ignored wharf/state/wharffleet/health.go \
+	's/case load\.Served > 0:\n\t\t\te\.run = 0/case load.Served > 0:/' $fleet TestEndpointsThatLoseSomeAnswersStay
+mutant own-faults-taken-back wharf/state/wharffleet/health.go \
+	's/\t\t\tif e\.told \{/\t\t\tif true {/' $fleet TestWordOfPeersIsTakenBackByPeersAndOwnFaultsAreNot
+mutant last-attempts-are-trials wharf/state/wharffleet/health.go \
+	's/return !once && /return /' $fleet TestRequestsThatRunOnceAreNoTrials
+mutant ring-not-shared-out wharf/state/wharffleet/ring.go \
+	's/f\.position = float64\(rank\) \/ float64\(max\(1, count\)\)/f.position = 0/' $fleet TestHostsOfALargeZoneShareEachEndpointWithFew
+mutant crowded-part-not-left wharf/state/wharffleet/pick.go \
+	's/if i >= arc && d\.free && [^{]*\{/if i >= arc {/' $fleet TestHostWithFullEndpointsGoesOn
+mutant neighbours-one-sided wharf/coordination/wharfgossip/circle.go \
+	's/min\(distance, count-distance\)/distance/' ./wharf/coordination/wharfgossip TestHostsThatShareEndpointsAreCloseToEachOther
+mutant levels-of-another-roll wharf/coordination/wharflimiter/roll.go \
+	's/levels\.Roll != r\.mark \|\| //' ./wharf/coordination/wharflimiter TestLevelsOfAnotherConfigurationAreGuessed
+mutant settled-before-listed wagtailwharfd/wharfhost/members.go \
+	's/m\.settled = m\.listed/m.settled = true/' ./wagtailwharfd/wharfhost TestHostsThatStartAtOnceDoNotTakeThemselvesForTheOnlyOne
+mutant silent-owner-uses-up-terms wharf/coordination/wharfquota/drawer.go \
+	's/ctx, cancel := context\.WithTimeout\(ctx, askTimeout\)/ctx, cancel := context.WithCancel(ctx)/' ./wharf/coordination/wharfquota TestSilentOwnerDoesNotUseUpTheTokensOfTheNext
+
 exit $failed
