--- a/wharf/coordination/wharfgossip/circle.go
+++ b/wharf/coordination/wharfgossip/circle.go
@@ -12,13 +12,13 @@
 // circle is who hears what from this host.
 type circle struct {
 	all []Peer
-	// near are the hosts of the own zone, the only ones of a small fleet that there are: all.
+	// near hear the whole state in every round: the hosts of the own zone, in a small fleet all.
 	near []Peer
-	// far are the others.
+	// far hear it in some rounds, and in brief in the others.
 	far []Peer
 	// close are those of near that share endpoints with this host and hear of its changes at once; others are the rest.
 	close, others []Peer
-	// contacts are one host of each other zone, which tells the others there.
+	// contacts hear of changes too, one host of each other zone, and tell the others there.
 	contacts []Peer
 }
 
