A test of the gossip waits until all hosts listen

The changes are sent once, and the test waited for the sender alone to listen; a datagram to a port that nobody has opened yet is lost. It also read the sender's connection under the test's lock, not the gossip's. Bound and check are as they were.

--- a/wharf/coordination/wharfgossip/circle_test.go
+++ b/wharf/coordination/wharfgossip/circle_test.go
@@ -83,11 +83,13 @@
 		{Load: wharffleet.Load{Endpoint: "beyond", Online: 1}, Zone: "z", Wide: true},
 		{Load: wharffleet.Load{Endpoint: "there", Online: 1}, Zone: "far", Wide: true},
 	}
-	await(t, "a runs", func() bool {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		return a.conn != nil
-	})
+	for _, h := range []*host{a, closeBy, other, contact} {
+		await(t, h.options.Self.Host+" listens", func() bool {
+			h.Gossip.mu.Lock()
+			defer h.Gossip.mu.Unlock()
+			return h.conn != nil
+		})
+	}
 	a.options.Changes = func() []wharffleet.Change { return changes }
 	a.sendChanges(c)
 	for _, expected := range []struct {
