The soak's daemons listen below the ports of connections

The port was looked for and then taken by a connection of the proxies before the daemon started. Each host has an address of its own, so fixed ports are free.

--- a/wharf-load/wharfsoak/site.go
+++ b/wharf-load/wharfsoak/site.go
@@ -165,9 +165,7 @@
 	}
 	var ports [4]netip.AddrPort
 	for i := range ports {
-		if ports[i], err = freePort(ip); err != nil {
-			return err
-		}
+		ports[i] = netip.AddrPortFrom(ip, uint16(firstPort+i))
 	}
 	peers, err := wharfproxy.Start(ctx, netip.AddrPortFrom(ip, 0), ports[2])
 	if err != nil {
@@ -206,15 +204,8 @@
 keep = %q
 `
 
-// freePort returns a port of an address of this run's own, so that nothing else takes it before the daemon does.
-func freePort(ip netip.Addr) (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String()), nil
-}
+// firstPort is a host's first port on its own address, below the range from which the kernel takes those of connections.
+const firstPort = 20000
 
 // startHost starts a daemon unless it runs, and reports if it ends untold.
 func (s *site) startHost(ctx context.Context, h *host, first bool) error {
