A request whose time was up before it ran is told when to come back

Ruled out: the new cuts between hosts (nothing of the request went through them). Test: TestRequestWhoseTimeIsUpBeforeItRanIsToldWhenToComeBack, which failed before.

--- a/wharf/transport/wharffront/online.go
+++ b/wharf/transport/wharffront/online.go
@@ -136,7 +136,7 @@
 	case ctx.Err() != nil:
 		return o.ended(ctx)
 	case errors.Is(err, wharfpick.ErrNone):
-		return errNoEndpoint.In(wharfpatience.ServiceReturn(o.left()))
+		return o.later(errNoEndpoint)
 	}
 	return errBusy.In(wharfpatience.Return(o.left()))
 }
@@ -150,7 +150,7 @@
 		klog.InfoS("caller left", "request-id", o.call.ID, "after", time.Since(o.call.Arrived).String(), "endpoint", o.endpoint)
 		panic(http.ErrAbortHandler)
 	}
-	return errTooLate
+	return o.later(errTooLate)
 }
 
 func (o *online) try(ctx context.Context, placement *wharffleet.Placement) wharfforward.Outcome {
--- /dev/null
+++ b/wharf/transport/wharffront/online_test.go
@@ -0,0 +1,29 @@
+package wharffront
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/wharf/protocol/wharfrefusal"
+	"wagtailwharf.example/wharf/state/wharfcall"
+)
+
+// TestRequestWhoseTimeIsUpBeforeItRanIsToldWhenToComeBack plays a host that stood still for longer than a caller's time.
+func TestRequestWhoseTimeIsUpBeforeItRanIsToldWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &online{request: &request{call: wharfcall.Call{Arrived: time.Now(), Limit: 5 * time.Second}}}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		time.Sleep(5500 * time.Millisecond)
+		var refusal *wharfrefusal.Refusal
+		assert.Assert(t, errors.As(o.ended(ctx), &refusal))
+		assert.Equal(t, refusal.Code, errTooLate.Code)
+		assert.Equal(t, refusal.RunState, wharfrefusal.NotRun)
+		assert.Assert(t, refusal.RetryAfter > 0)
+	})
+}
