--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -327,8 +327,9 @@
 // peerCallTimeout bounds a snapshot request to a peer and a crash report.
 const peerCallTimeout = 500 * time.Millisecond
 
-// reportCrash records that a request crashed an endpoint and reports it to all live peers.
-func (h *Host) reportCrash(fingerprint uint64, alone bool) {
+// reportCrash records that a request crashed an endpoint and reports it to all live peers. It returns the number of
+// crashes under the request.
+func (h *Host) reportCrash(fingerprint uint64, alone bool) int {
 	crashes := h.poison.RecordCrash(fingerprint, alone, time.Now())
 	strike := wharfhostcalls.CrashReport{Fingerprint: fingerprint, Crashes: crashes, Alone: alone}
 	for _, p := range h.gossip.Peers() {
@@ -343,6 +344,7 @@
 			}
 		}()
 	}
+	return crashes
 }
 
 // Drain requests a graceful shutdown and returns without waiting for it.
--- a/wharf/state/wharfcall/call.go
+++ b/wharf/state/wharfcall/call.go
@@ -20,6 +20,8 @@
 	// LastEvent is the number of the last event that the caller has received, if Resumes is set.
 	LastEvent int
 	Resumes   bool // the caller asks to continue a stream
+	// SharedParts are the IDs of the prompt's parts that other requests may share, in order.
+	SharedParts []string
 }
 
 // Attempt is one attempt to send a call to an endpoint.
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -43,6 +44,7 @@
 	queueTime        time.Duration // over all attempts
 	endpoint         string        // ID of the endpoint of the last attempt
 	placementLoad    endpointLoad  // load of that endpoint at placement, as known to this host
+	crashes          int           // crashes counted under this request after the last attempt, 0 if that was none
 }
 
 // forward serves an online request by forwarding it to endpoints.
@@ -206,6 +208,7 @@
 // recordOutcome updates the state of the request and of the endpoint after an attempt.
 func (o *online) recordOutcome(placement *wharffleet.Placement, result wharfforwarder.Result) {
 	s := o.server
+	o.crashes = 0
 	o.started = o.started || result.Started
 	o.lastEvent = result.LastEvent
 	o.events += result.Events
@@ -229,7 +232,7 @@
 	// A request that crashes endpoints does so at its start, so a connection that is lost after the first event is
 	// not counted as a crash. Nor is one to a suspect endpoint, at which other requests had failed shortly before.
 	if outcome == wharfoutcome.ConnectionLost && o.events == 0 && !placement.Suspect {
-		s.options.ReportCrash(o.fingerprint, false)
+		o.crashes = s.options.ReportCrash(o.fingerprint, false)
 	}
 }
 
@@ -253,7 +256,8 @@
 	}
 	klog.InfoS("attempt failed", "request-id", o.call.ID, "organisation", o.organisationName(), "route", o.route.Name,
 		"endpoint", placement.Endpoint.ID, "verdict", result.Outcome.String(), "next", action.String(),
-		"sends", o.sends, "runs", o.runs, "events", o.events, "left", o.remaining().String(), "error", reason)
+		"sends", o.sends, "runs", o.runs, "events", o.events, "left", o.remaining().String(), "error", reason,
+		"shared-parts", strings.Join(o.call.SharedParts, ","), "endpoint-suspect", placement.Suspect, "crashes", o.crashes)
 }
 
 // finish ends a request that is not retried.
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -86,8 +86,8 @@
 	Jobs             *wharfjobstore.Store
 	Metrics          *wharfmetrics.Metrics
 	// ReportCrash reports to other hosts that an endpoint crashed while it ran a request. alone is true if it ran
-	// nothing else.
-	ReportCrash func(fingerprint uint64, alone bool)
+	// nothing else. It returns the number of crashes under the request.
+	ReportCrash func(fingerprint uint64, alone bool) int
 }
 
 // Server is the HTTP handler of callers' requests.
