--- /dev/null
+++ b/wagtailwharfd/wharfhost/crash_test.go
@@ -0,0 +1,80 @@
+package wharfhost
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/platform/wharfstandin"
+)
+
+const (
+	crashingPart = "bad0"
+	// crashLearningTime is how long after the fifth crash requests with the part may still reach endpoints, and
+	// maxLateCrashers how many may do so later: the stated target.
+	crashLearningTime = 3 * time.Second
+	maxLateCrashers   = 3
+)
+
+// sendCrashing sends a request whose prompt has the crashing part and which otherwise is like no other.
+func (c *cluster) sendCrashing(h *runningHost, n int) wharfstandin.Response {
+	return wharfstandin.NewCaller(callerHost, keyA).SendPrompt(context.Background(), h.address(), "/resume/x",
+		fmt.Sprint("bad-", n), fmt.Sprintf("aaaa:100,%s:50,%x:20", crashingPart, n))
+}
+
+// crashingRuns returns the times at which requests with the crashing part have started to run, in order.
+func (c *cluster) crashingRuns() []time.Time {
+	var times []time.Time
+	for _, e := range c.endpoints {
+		for _, r := range e.Runs() {
+			if strings.Contains(r.Parts, crashingPart) {
+				times = append(times, r.At)
+			}
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+func TestPromptPartThatCrashesEndpointsIsNotSentOn(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	for _, e := range c.endpoints {
+		e.SetFaults(wharfstandin.Faults{CrashPart: crashingPart})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashLearningTime+2500*time.Millisecond)
+	defer cancel()
+	var lateSound, lateServed atomic.Int64
+	started := time.Now()
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(20 * time.Millisecond)
+		go c.sendCrashing(c.hosts[n%3], n)
+		go func() {
+			id := fmt.Sprint("sound-", n)
+			late := time.Since(started) > crashLearningTime
+			resp := wharfstandin.NewCaller(callerHost, keyA).SendPrompt(ctx, c.hosts[n%3].address(), "/resume/x", id,
+				fmt.Sprintf("aaaa:100,%x:20", n))
+			if late && ctx.Err() == nil {
+				lateSound.Add(1)
+				if resp.Status == http.StatusOK {
+					lateServed.Add(1)
+				}
+			}
+		}()
+	}
+	late := 0
+	runs := c.crashingRuns()
+	for _, at := range runs {
+		if len(runs) >= 5 && at.After(runs[4].Add(crashLearningTime)) {
+			late++
+		}
+	}
+	assert.Check(t, late <= maxLateCrashers, "%d requests reached endpoints too late, of %d", late, len(runs))
+	assert.Check(t, lateServed.Load()*10 >= lateSound.Load()*9, "%d of %d sound requests served", lateServed.Load(), lateSound.Load())
+}
