Block the part of a prompt that crashes endpoints, on all hosts

Cause: crashes were counted by the whole request (organisation, path, body), and the requests shared one part of their prompts and nothing else, so that every count began at zero and ended at two, the route's attempts. Class: what is counted by an identity that the sender can vary.

Now wharfcrash counts crashed endpoints, each once, for the whole request and for each shared part; an answer that begins clears all identities of its request, at all hosts, so that parts that sound requests share clear themselves within milliseconds, and a part that has been answered before needs five endpoints where others need three. The first identity that suffices is blocked, the most specific first, and takes its crashes off all others. Verdicts go to all live hosts, to those that start or come back, and into the store's table wharf-blocked, for hosts that are cut off or start while no peer answers. One host lets one request through as a trial, 15 s after the last crash and twice that for each crash beyond three, so that a wrong verdict ends by an answer. Before, the count of a whole request was never cleared at all.

--- /dev/null
+++ b/wagtailwharfd/wharfhost/crash.go
@@ -0,0 +1,110 @@
+package wharfhost
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/coordination/wharfgossip"
+	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
+	"wagtailwharf.example/wharf/state/wharfcrash"
+	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfrank"
+)
+
+// publishDelay is how long a host leaves it to those that saw the crashes themselves to write a verdict to the store.
+const publishDelay = time.Second
+
+// reportCrash records that an endpoint crashed under a request and tells all live peers. It returns the largest number of
+// crashes under one identity of the request.
+func (h *Host) reportCrash(request wharfcrash.Request, endpoint wharffleet.Endpoint) int {
+	crash := wharfcrash.Crash{
+		Endpoint: xxhash.Sum64String(fmt.Sprint(endpoint.ID, " ", endpoint.Born.UnixMilli())),
+		Request:  request,
+		Proven:   h.crashes.Proven(request),
+	}
+	crashes, verdicts := h.crashes.Record(crash, time.Now())
+	h.metrics.Count("crashes")
+	h.putInForce(verdicts, 0)
+	h.tellCrashes(wharfhostcalls.CrashReport{Crashes: []wharfcrash.Crash{crash}, Blocked: verdicts})
+	return crashes
+}
+
+// reportAnswer records that an endpoint has begun to answer a request, and tells all live peers if it was suspected.
+func (h *Host) reportAnswer(request wharfcrash.Request) {
+	cleared := h.crashes.Answered(request, time.Now())
+	if len(cleared) == 0 {
+		return
+	}
+	h.blocklist.Withdraw(cleared)
+	h.tellCrashes(wharfhostcalls.CrashReport{Cleared: cleared})
+}
+
+// takeCrashReport applies the report of another host.
+func (h *Host) takeCrashReport(report wharfhostcalls.CrashReport) {
+	now := time.Now()
+	h.crashes.Clear(report.Cleared)
+	for _, crash := range report.Crashes {
+		_, verdicts := h.crashes.Record(crash, now)
+		h.putInForce(verdicts, publishDelay+rand.N(publishDelay))
+	}
+	for _, verdict := range report.Blocked {
+		h.crashes.Block(verdict, now)
+	}
+}
+
+// putInForce logs verdicts and has them written to the store, unless another host does so within the delay.
+func (h *Host) putInForce(verdicts []wharfcrash.Verdict, delay time.Duration) {
+	for _, v := range verdicts {
+		h.metrics.Count("blocked")
+		klog.InfoS("request blocked", "identity", fmt.Sprintf("%016x", uint64(v.Identity)), "crashes", v.Crashes,
+			"age", time.Since(v.At).String(), "source", "crashes")
+		h.blocklist.Publish(v, delay)
+	}
+}
+
+// tellCrashes sends a report to all live peers.
+func (h *Host) tellCrashes(report wharfhostcalls.CrashReport) {
+	for _, p := range h.gossip.Peers() {
+		if p.Presence == wharfgossip.Alive {
+			go h.sendCrashReport(p, report)
+		}
+	}
+}
+
+// tellVerdicts sends the verdicts in force to a peer that has started or come back. In a large fleet, the hosts of its
+// zone do so.
+func (h *Host) tellVerdicts(p wharfgossip.Peer) {
+	verdicts := h.crashes.Verdicts()
+	if len(verdicts) > 0 && (p.Zone == h.settings.Zone || !h.allocator.Exact()) {
+		go h.sendCrashReport(p, wharfhostcalls.CrashReport{Blocked: verdicts})
+	}
+}
+
+func (h *Host) sendCrashReport(p wharfgossip.Peer, report wharfhostcalls.CrashReport) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	if err := h.peerClient.Strike(ctx, p.Address, report); err != nil {
+		klog.InfoS("crash report to peer failed", "peer", p.Host, "error", err.Error())
+	}
+}
+
+// tryBlocked reports whether this host may run a request with a blocked identity, as the trial that may clear it. One
+// host of the fleet makes the trials of an identity.
+func (h *Host) tryBlocked(id wharfcrash.Identity) bool {
+	hosts := []string{h.settings.Host}
+	for _, p := range h.gossip.Peers() {
+		if p.Presence == wharfgossip.Alive {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	if wharfrank.Order(fmt.Sprint(id), hosts)[0] != h.settings.Host || !h.crashes.TakeTrial(id, time.Now()) {
+		return false
+	}
+	klog.InfoS("trial of a blocked request", "identity", fmt.Sprintf("%016x", uint64(id)))
+	return true
+}
--- a/wagtailwharfd/wharfhost/crash_test.go
+++ b/wagtailwharfd/wharfhost/crash_test.go
@@ -78,3 +78,27 @@
 	assert.Check(t, late <= maxLateCrashers, "%d requests reached endpoints too late, of %d", late, len(runs))
 	assert.Check(t, lateServed.Load()*10 >= lateSound.Load()*9, "%d of %d sound requests served", lateServed.Load(), lateSound.Load())
 }
+
+func TestRestartedHostKnowsTheRequestsThatCrashEndpoints(t *testing.T) {
+	c := newCluster(t, 2, 6)
+	for _, e := range c.endpoints {
+		e.SetFaults(wharfstandin.Faults{CrashPart: crashingPart})
+	}
+	sent := 0
+	c.await("the part is blocked", func() bool {
+		sent++
+		return c.sendCrashing(c.hosts[sent%2], sent).Status == http.StatusInternalServerError &&
+			len(c.hosts[0].crashes.Verdicts()) == 1
+	})
+	before := len(c.crashingRuns())
+	restarted := c.hosts[0]
+	restarted.kill()
+	restarted = c.restart(restarted)
+	c.await("the restarted host serves", func() bool {
+		return c.send(restarted, keyA, "POST", "/resume/x", "sound", "").Status == http.StatusOK
+	})
+	for n := range 10 {
+		assert.Equal(t, c.sendCrashing(restarted, 1000+n).Status, http.StatusInternalServerError)
+	}
+	assert.Equal(t, len(c.crashingRuns()), before)
+}
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -15,6 +15,7 @@
 	"wagtailwharf.example/platform/wharfstoreclient"
 	"wagtailwharf.example/platform/wharfwire"
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
+	"wagtailwharf.example/wharf/coordination/wharfblocklist"
 	"wagtailwharf.example/wharf/coordination/wharfdirectory"
 	"wagtailwharf.example/wharf/coordination/wharfgate"
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
@@ -25,8 +26,8 @@
 	"wagtailwharf.example/wharf/coordination/wharfrelay"
 	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
 	"wagtailwharf.example/wharf/protocol/wharfhostsettings"
+	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
-	"wagtailwharf.example/wharf/state/wharfpoison"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/transport/wharfdialer"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
@@ -54,7 +55,8 @@
 	fleet          *wharffleet.Fleet
 	gate           *wharfgate.Gate[*wharffleet.Placement]
 	allocator      *wharfallocator.Allocator
-	poison         *wharfpoison.Tracker
+	crashes        *wharfcrash.Tracker
+	blocklist      *wharfblocklist.List
 	jobs           *wharfjobstore.Store
 	runner         *wharfjobrunner.Runner
 	frontend       *wharffrontend.Server
@@ -75,7 +77,7 @@
 		peerPool:       wharfrpc.NewPool("", settings.Peers.Addr()),
 		endpointPool:   wharfhttpconn.NewPool(),
 		gate:           wharfgate.New[*wharffleet.Placement](),
-		poison:         wharfpoison.New(),
+		crashes:        wharfcrash.New(),
 		metrics:        wharfmetrics.New(),
 		drainRequested: make(chan struct{}),
 	}
@@ -87,6 +89,7 @@
 		OnRelayed: func() { h.metrics.Count("store-calls-relayed") },
 	})
 	h.store = wharfmonotone.New(h.relay)
+	h.blocklist = wharfblocklist.New(h.store, h.crashes)
 	h.peerClient = wharfhostcalls.New(h.peerPool)
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.NotifyChange() })
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
@@ -144,10 +147,12 @@
 		Gate:             h.gate,
 		Allocator:        h.allocator,
 		Forwarder:        forwarder,
-		Crashes:          h.poison,
+		Crashes:          h.crashes,
 		Jobs:             h.jobs,
 		Metrics:          h.metrics,
 		ReportCrash:      h.reportCrash,
+		ReportAnswer:     h.reportAnswer,
+		TryBlocked:       h.tryBlocked,
 	})
 	h.callers = &http.Server{
 		Handler:           h.frontend,
@@ -260,6 +265,9 @@
 	if p.Presence == wharfgossip.Ended {
 		h.fleet.Forget(p.Host)
 	}
+	if p.Presence == wharfgossip.Alive {
+		h.tellVerdicts(p)
+	}
 	h.limiter.SetHostCount(h.membership.hostCount())
 }
 
@@ -327,26 +335,6 @@
 // peerCallTimeout bounds a snapshot request to a peer and a crash report.
 const peerCallTimeout = 500 * time.Millisecond
 
-// reportCrash records that a request crashed an endpoint and reports it to all live peers. It returns the number of
-// crashes under the request.
-func (h *Host) reportCrash(fingerprint uint64, alone bool) int {
-	crashes := h.poison.RecordCrash(fingerprint, alone, time.Now())
-	strike := wharfhostcalls.CrashReport{Fingerprint: fingerprint, Crashes: crashes, Alone: alone}
-	for _, p := range h.gossip.Peers() {
-		if p.Presence != wharfgossip.Alive {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
-			defer cancel()
-			if err := h.peerClient.Strike(ctx, p.Address, strike); err != nil {
-				klog.InfoS("crash report to peer failed", "peer", p.Host, "error", err.Error())
-			}
-		}()
-	}
-	return crashes
-}
-
 // Drain requests a graceful shutdown and returns without waiting for it.
 func (h *Host) Drain() {
 	h.drainOnce.Do(func() { close(h.drainRequested) })
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -72,9 +72,7 @@
 		Admit: func(r wharfhostcalls.AdmitRequest) wharflimiter.Decision {
 			return h.limiter.AdmitHere(ctx, r.Organisation)
 		},
-		Strike: func(s wharfhostcalls.CrashReport) {
-			h.poison.Merge(s.Fingerprint, s.Crashes, s.Alone, time.Now())
-		},
+		Strike: h.takeCrashReport,
 	})
 	if err != nil {
 		return err
@@ -114,6 +112,7 @@
 		{Name: "members", Run: h.membership.run},
 		{Name: "relay", Run: h.relay.Serve},
 		{Name: "limiter", Run: h.limiter.Serve},
+		{Name: "blocklist", Run: h.blocklist.Serve},
 		{Name: "peers", Run: func(ctx context.Context) error { return h.peerPool.Serve(ctx, l.peers, server) }},
 		{Name: "readiness", Run: func(ctx context.Context) error {
 			return wharfservice.ServeHTTP(ctx, readiness, l.readiness)
--- a/wharf/protocol/wharfhostcalls/calls.go
+++ b/wharf/protocol/wharfhostcalls/calls.go
@@ -11,6 +11,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfdirectory"
 	"wagtailwharf.example/wharf/coordination/wharflimiter"
 	"wagtailwharf.example/wharf/coordination/wharfrelay"
+	"wagtailwharf.example/wharf/state/wharfcrash"
 )
 
 const service = "Host"
@@ -36,11 +37,11 @@
 	Organisation string
 }
 
-// CrashReport reports that an endpoint crashed while it ran a request.
+// CrashReport tells what a host has learned about requests that crash endpoints.
 type CrashReport struct {
-	Fingerprint uint64 // of the request, see wharfpoison.Fingerprint
-	Crashes     int    // crashes under the request that the reporting host has counted
-	Alone       bool   // the endpoint ran no other request
+	Crashes []wharfcrash.Crash
+	Blocked []wharfcrash.Verdict
+	Cleared []wharfcrash.Identity // answers with them have begun
 }
 
 // Empty is an empty request or reply.
@@ -70,7 +71,7 @@
 	return reply, err
 }
 
-// Strike reports a crash to a host.
+// Strike reports crashes and what follows from them to a host.
 func (c *Client) Strike(ctx context.Context, to netip.AddrPort, report CrashReport) error {
 	var reply Empty
 	return c.caller.Call(ctx, to, service+".Strike", report, &reply)
@@ -133,7 +134,7 @@
 	return nil
 }
 
-// Strike handles the report of a crash.
+// Strike handles a report about crashes.
 func (m *methods) Strike(report CrashReport, _ *Empty) error {
 	m.handlers.Strike(report)
 	return nil
--- /dev/null
+++ b/wharf/state/wharfcrash/request.go
@@ -0,0 +1,52 @@
+package wharfcrash
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Identity is a hash of what requests may have in common: the whole request, or a part of the prompt.
+type Identity uint64
+
+// Request holds the identities of a request.
+type Request struct {
+	Whole Identity
+	Parts []Identity // of the parts of the prompt that other requests may share, in order
+}
+
+// NewRequest returns the identities of a request. A part has the same one in the requests of all organisations.
+func NewRequest(organisation, target string, body []byte, parts []string) Request {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(organisation + "\x00" + target + "\x00")
+	_, _ = digest.Write(body)
+	r := Request{Whole: Identity(digest.Sum64())}
+	for _, part := range parts {
+		r.Parts = append(r.Parts, Identity(xxhash.Sum64String("part\x00"+part)))
+	}
+	return r
+}
+
+// identities returns all identities, the most specific first: the last part, the parts before it, the whole request. If
+// requests that crash endpoints share several parts, the most specific one leaves the most other requests alone.
+func (r *Request) identities() []Identity {
+	list := make([]Identity, 0, len(r.Parts)+1)
+	for i := len(r.Parts) - 1; i >= 0; i-- {
+		list = append(list, r.Parts[i])
+	}
+	return append(list, r.Whole)
+}
+
+// Crash is the crash of an endpoint under a request that had no event yet.
+type Crash struct {
+	Endpoint uint64 // hash of the endpoint's incarnation
+	Request  Request
+	Proven   []Identity // parts with which the reporting host has seen answers begin
+}
+
+// Verdict says that requests with an identity are blocked.
+type Verdict struct {
+	Identity Identity  `cbor:"1,keyasint"`
+	Crashes  int       `cbor:"2,keyasint"` // endpoints that have crashed
+	At       time.Time `cbor:"3,keyasint"` // of the last crash
+}
--- /dev/null
+++ b/wharf/state/wharfcrash/tracker.go
@@ -0,0 +1,264 @@
+package wharfcrash
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// crashesToBlock is the number of crashed endpoints from which an identity is blocked.
+	crashesToBlock = 3
+	// provenCrashesToBlock is that number for a part with which answers have begun before.
+	provenCrashesToBlock = 5
+	// minRequests is the number of different requests from which a part is blocked: a single one is blocked as a whole.
+	minRequests = 2
+	// entryTTL is how long an identity is remembered after its last crash or its last answer.
+	entryTTL = 10 * time.Minute
+	// firstTrialDelay is the time from the last crash until one request with a blocked identity is run again. It doubles
+	// with each crash beyond crashesToBlock, up to maxTrialDoublings times.
+	firstTrialDelay   = 15 * time.Second
+	maxTrialDoublings = 6
+	// maxEntries is the number of entries from which every call removes expired ones.
+	maxEntries  = 20_000
+	sweepPeriod = time.Minute
+)
+
+// Tracker counts crashed endpoints by the identities of the requests that they ran, and blocks the identity that explains
+// them. It is safe for concurrent use.
+type Tracker struct {
+	mu        sync.Mutex
+	suspects  map[Identity]*suspect
+	proven    map[Identity]time.Time // when an answer last began, by part
+	explained map[uint64]time.Time   // endpoints whose crash a blocked identity explains
+	lastSweep time.Time
+}
+
+// suspect is what speaks against an identity since an answer with it last began.
+type suspect struct {
+	endpoints map[uint64]bool // that have crashed
+	requests  map[Identity]bool
+	crashes   int // at least len(endpoints); more if other hosts have seen more
+	proven    bool
+	blocked   bool
+	at        time.Time // of the last crash or trial
+}
+
+// New returns an empty tracker.
+func New() *Tracker {
+	return &Tracker{
+		suspects: map[Identity]*suspect{}, proven: map[Identity]time.Time{}, explained: map[uint64]time.Time{},
+	}
+}
+
+// Proven returns the parts of a request with which answers have begun.
+func (t *Tracker) Proven(r Request) []Identity {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(r.Parts), func(id Identity) bool { return t.proven[id].IsZero() })
+}
+
+// Record records a crash. It returns the largest number of crashes under one identity of the request, and the verdicts
+// that follow.
+func (t *Tracker) Record(c Crash, now time.Time) (crashes int, verdicts []Verdict) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	if t.strikeBlocked(c, now) || !t.explained[c.Endpoint].IsZero() {
+		return 0, nil
+	}
+	for _, id := range c.Request.identities() {
+		s := t.suspect(id)
+		s.strike(c, now)
+		s.proven = s.proven || slices.Contains(c.Proven, id) || !t.proven[id].IsZero()
+		crashes = max(crashes, s.crashes)
+		if s.guilty(id == c.Request.Whole) {
+			s.blocked = true
+			t.explain(id)
+			return crashes, []Verdict{s.verdict(id)}
+		}
+	}
+	return crashes, nil
+}
+
+// strikeBlocked adds a crash to the identities of its request that are blocked already, and reports whether there are any.
+func (t *Tracker) strikeBlocked(c Crash, now time.Time) (found bool) {
+	for _, id := range c.Request.identities() {
+		if s := t.suspects[id]; s != nil && s.blocked {
+			s.strike(c, now)
+			t.explain(id)
+			found = true
+		}
+	}
+	return found
+}
+
+func (t *Tracker) suspect(id Identity) *suspect {
+	s := t.suspects[id]
+	if s == nil {
+		s = &suspect{endpoints: map[uint64]bool{}, requests: map[Identity]bool{}}
+		t.suspects[id] = s
+	}
+	return s
+}
+
+func (s *suspect) strike(c Crash, now time.Time) {
+	s.at = now
+	s.requests[c.Request.Whole] = true
+	if s.endpoints[c.Endpoint] {
+		return
+	}
+	s.endpoints[c.Endpoint] = true
+	s.crashes = max(s.crashes+1, len(s.endpoints))
+}
+
+// guilty reports whether the crashes suffice to block the identity, of a whole request or of a part.
+func (s *suspect) guilty(whole bool) bool {
+	switch {
+	case whole:
+		return s.crashes >= crashesToBlock
+	case s.proven:
+		return s.crashes >= provenCrashesToBlock && len(s.requests) >= minRequests
+	}
+	return s.crashes >= crashesToBlock && len(s.requests) >= minRequests
+}
+
+func (s *suspect) verdict(id Identity) Verdict {
+	return Verdict{Identity: id, Crashes: s.crashes, At: s.at}
+}
+
+// explain takes the crashes under a blocked identity off the others.
+func (t *Tracker) explain(blocked Identity) {
+	b := t.suspects[blocked]
+	for endpoint := range b.endpoints {
+		t.explained[endpoint] = b.at
+	}
+	for id, s := range t.suspects {
+		if s.blocked {
+			continue
+		}
+		for endpoint := range b.endpoints {
+			if s.endpoints[endpoint] {
+				delete(s.endpoints, endpoint)
+				s.crashes--
+			}
+		}
+		if s.crashes <= 0 {
+			delete(t.suspects, id)
+		}
+	}
+}
+
+// Answered records that an endpoint has begun to answer a request, which clears all of its identities. It returns those
+// that were suspected or blocked.
+func (t *Tracker) Answered(r Request, now time.Time) (cleared []Identity) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	for _, id := range r.Parts {
+		t.proven[id] = now
+	}
+	if len(t.suspects) == 0 {
+		return nil
+	}
+	for _, id := range r.identities() {
+		if t.suspects[id] != nil {
+			delete(t.suspects, id)
+			cleared = append(cleared, id)
+		}
+	}
+	return cleared
+}
+
+// Clear removes identities that another host has cleared.
+func (t *Tracker) Clear(ids []Identity) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		delete(t.suspects, id)
+	}
+}
+
+// Block applies a verdict of another host.
+func (t *Tracker) Block(v Verdict, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if Expired(v, now) {
+		return
+	}
+	s := t.suspect(v.Identity)
+	s.blocked = true
+	s.crashes = max(s.crashes, v.Crashes)
+	if v.At.After(s.at) {
+		s.at = v.At
+	}
+}
+
+// Expired reports whether a verdict is too old to hold.
+func Expired(v Verdict, now time.Time) bool {
+	return now.Sub(v.At) >= entryTTL
+}
+
+// Blocked returns the blocked identity of a request, if it has one.
+func (t *Tracker) Blocked(r Request, now time.Time) (Verdict, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.suspects) == 0 {
+		return Verdict{}, false
+	}
+	for _, id := range r.identities() {
+		if s := t.suspects[id]; s != nil && s.blocked && now.Sub(s.at) < entryTTL {
+			return s.verdict(id), true
+		}
+	}
+	return Verdict{}, false
+}
+
+// Verdicts returns the verdicts in force.
+func (t *Tracker) Verdicts() []Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var verdicts []Verdict
+	for id, s := range t.suspects {
+		if s.blocked {
+			verdicts = append(verdicts, s.verdict(id))
+		}
+	}
+	return verdicts
+}
+
+// TakeTrial reports whether one request with a blocked identity may be run now, to see whether the verdict still holds.
+// Another one may not before the delay has passed again.
+func (t *Tracker) TakeTrial(id Identity, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspects[id]
+	if s == nil || !s.blocked || now.Sub(s.at) < firstTrialDelay<<min(max(0, s.crashes-crashesToBlock), maxTrialDoublings) {
+		return false
+	}
+	s.at = now
+	return true
+}
+
+// sweep removes expired entries once per sweepPeriod, or on every call while there are maxEntries or more.
+func (t *Tracker) sweep(now time.Time) {
+	if now.Sub(t.lastSweep) < sweepPeriod && len(t.suspects)+len(t.proven) < maxEntries {
+		return
+	}
+	t.lastSweep = now
+	for id, s := range t.suspects {
+		if now.Sub(s.at) >= entryTTL {
+			delete(t.suspects, id)
+		}
+	}
+	removeOld(t.proven, now)
+	removeOld(t.explained, now)
+}
+
+func removeOld[K comparable](entries map[K]time.Time, now time.Time) {
+	for key, at := range entries {
+		if now.Sub(at) >= entryTTL {
+			delete(entries, key)
+		}
+	}
+}
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,10 +14,10 @@
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
 	"wagtailwharf.example/wharf/protocol/wharfframes"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfoutcome"
 	"wagtailwharf.example/wharf/state/wharfpick"
-	"wagtailwharf.example/wharf/state/wharfpoison"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharftimeout"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
@@ -33,7 +34,10 @@
 type online struct {
 	*request
 	service          string
-	fingerprint      uint64
+	identities       wharfcrash.Request
+	trial            bool            // the request has a blocked identity, and its first attempt is the trial of it
+	status           int             // of the response forwarded to the caller
+	answered         bool            // an endpoint has begun to answer
 	avoid            map[string]bool // IDs of endpoints not to try again
 	sends            int             // attempts so far
 	runs             int             // attempts that the endpoint may have run
@@ -52,9 +56,12 @@
 	ctx, cancel := q.context(parent)
 	defer cancel()
 	o := &online{request: q, service: q.route.PickService(), avoid: map[string]bool{}, lastEvent: q.call.LastEvent}
-	o.fingerprint = wharfpoison.Fingerprint(q.organisationName(), q.call.Host+q.call.Target, q.call.Body)
-	if q.server.options.Crashes.Blocked(o.fingerprint, time.Now()) {
-		return errCrashesEndpoints
+	o.identities = wharfcrash.NewRequest(
+		q.organisationName(), q.call.Host+q.call.Target, q.call.Body, q.call.SharedParts)
+	if verdict, blocked := q.server.options.Crashes.Blocked(o.identities, time.Now()); blocked {
+		if o.trial = q.server.options.TryBlocked(verdict.Identity); !o.trial {
+			return o.refuseBlocked(verdict)
+		}
 	}
 	if err := q.admit(ctx); err != nil {
 		return err
@@ -62,6 +69,17 @@
 	return o.run(ctx)
 }
 
+// refuseBlocked refuses a request that has crashed endpoints or is like others that have.
+func (o *online) refuseBlocked(verdict wharfcrash.Verdict) error {
+	klog.InfoS("request is blocked", "request-id", o.call.ID, "identity", fmt.Sprintf("%016x", uint64(verdict.Identity)),
+		"crashes", verdict.Crashes, "age", time.Since(verdict.At).String(), "runs", o.runs,
+		"shared-parts", strings.Join(o.call.SharedParts, ","))
+	if o.runs > 0 {
+		return errCrashesEndpoints.MayHaveRun()
+	}
+	return errCrashesEndpoints
+}
+
 // admit enforces the organisation's rate limit.
 func (q *request) admit(ctx context.Context) error {
 	if q.organisation == nil {
@@ -84,6 +102,10 @@
 		if err != nil {
 			return o.refuseUnplaced(ctx, err)
 		}
+		if verdict, blocked := o.blocked(); blocked {
+			o.server.options.Gate.Release(placement, o.service)
+			return o.refuseBlocked(verdict)
+		}
 		result := o.tryEndpoint(ctx, placement)
 		o.server.options.Gate.Release(placement, o.service)
 		if result.Outcome == 0 {
@@ -99,9 +121,6 @@
 			MaxAttempts: o.route.MaxAttempts,
 		})
 		o.logAttempt(placement, result, action)
-		if action == wharfoutcome.Retry && o.server.options.Crashes.Blocked(o.fingerprint, time.Now()) {
-			return errCrashesEndpoints.MayHaveRun()
-		}
 		if action == wharfoutcome.Retry || action == wharfoutcome.Resume {
 			o.server.options.Metrics.Count("retries")
 			continue
@@ -110,6 +129,14 @@
 	}
 }
 
+// blocked returns the verdict against the request, unless its next attempt is a trial or continues an answer.
+func (o *online) blocked() (wharfcrash.Verdict, bool) {
+	if o.answered || o.trial && o.sends == 0 {
+		return wharfcrash.Verdict{}, false
+	}
+	return o.server.options.Crashes.Blocked(o.identities, time.Now())
+}
+
 // endpointLoad is the number of online requests and batch items that ran on an endpoint when a request was placed
 // there, and its number of slots.
 type endpointLoad struct {
@@ -232,7 +259,7 @@
 	// A request that crashes endpoints does so at its start, so a connection that is lost after the first event is
 	// not counted as a crash. Nor is one to a suspect endpoint, at which other requests had failed shortly before.
 	if outcome == wharfoutcome.ConnectionLost && o.events == 0 && !placement.Suspect {
-		o.crashes = s.options.ReportCrash(o.fingerprint, false)
+		o.crashes = s.options.ReportCrash(o.identities, placement.Endpoint)
 	}
 }
 
@@ -303,6 +330,7 @@
 
 // WriteHeader forwards the status and header of the response.
 func (o *online) WriteHeader(status int, header http.Header) error {
+	o.status = status
 	to := o.writer.Header()
 	for name, values := range header {
 		if !slices.Contains(hopByHopHeaders, name) {
@@ -319,8 +347,17 @@
 	return nil
 }
 
+// noteAnswer records that an endpoint has begun to answer. An error does not show that it runs the request.
+func (o *online) noteAnswer() {
+	if !o.answered && o.status < http.StatusMultipleChoices {
+		o.answered = true
+		o.server.options.ReportAnswer(o.identities)
+	}
+}
+
 // WriteEvent forwards an event, and flushes unless another event follows immediately.
 func (o *online) WriteEvent(e wharfframes.Event, more bool) error {
+	defer o.noteAnswer()
 	if _, err := o.writer.Write(e.Raw); err != nil {
 		return err
 	}
@@ -332,6 +369,7 @@
 
 // WriteBody forwards a part of a response body.
 func (o *online) WriteBody(data []byte) error {
+	defer o.noteAnswer()
 	_, err := o.writer.Write(data)
 	return err
 }
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -17,8 +17,8 @@
 	"wagtailwharf.example/wharf/protocol/wharfdialect"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
-	"wagtailwharf.example/wharf/state/wharfpoison"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharftimeout"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
@@ -64,7 +64,7 @@
 	errEndpointFailed = wharfrefusal.New(http.StatusBadGateway, "endpoint-failed",
 		"the endpoint did not give a whole answer").MayHaveRun()
 	errCrashesEndpoints = wharfrefusal.New(http.StatusInternalServerError, "crashes-endpoints",
-		"this request crashes the endpoints that run it and is not run again")
+		"requests like this one crash the endpoints that run them and are not run")
 )
 
 // Causes of a request context's end: errRouteTimeout for the route's timeout, errCallerTimeout for the caller's own.
@@ -82,12 +82,16 @@
 	Gate             *wharfgate.Gate[*wharffleet.Placement]
 	Allocator        *wharfallocator.Allocator
 	Forwarder        *wharfforwarder.Forwarder
-	Crashes          *wharfpoison.Tracker
+	Crashes          *wharfcrash.Tracker
 	Jobs             *wharfjobstore.Store
 	Metrics          *wharfmetrics.Metrics
-	// ReportCrash reports to other hosts that an endpoint crashed while it ran a request. alone is true if it ran
-	// nothing else. It returns the number of crashes under the request.
-	ReportCrash func(fingerprint uint64, alone bool) int
+	// ReportCrash records that an endpoint crashed under a request that had no event yet. It returns the number of crashes
+	// that speak against the request.
+	ReportCrash func(request wharfcrash.Request, endpoint wharffleet.Endpoint) int
+	// ReportAnswer records that an endpoint has begun to answer a request.
+	ReportAnswer func(request wharfcrash.Request)
+	// TryBlocked reports whether a request with a blocked identity may be run, to see whether it still crashes endpoints.
+	TryBlocked func(id wharfcrash.Identity) bool
 }
 
 // Server is the HTTP handler of callers' requests.
