--- /dev/null
+++ b/wagtailwharfd/wharfhost/limit_test.go
@@ -0,0 +1,60 @@
+package wharfhost
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/platform/wharfstandin"
+)
+
+// TestEndpointsGetNoMoreThanTheLimitThatTheyName plays 50 requests a second on four endpoints, of which three name a limit.
+func TestEndpointsGetNoMoreThanTheLimitThatTheyName(t *testing.T) {
+	const (
+		limit    = 3.0
+		learning = 3 * time.Second // after the first answer that names the limit
+		window   = 4 * time.Second
+		allowed  = int(1.5*limit*4) + 5 // the stated target
+	)
+	for name, start := range map[string]func(testing.TB, int, int) *cluster{"small": newCluster, "large": newLargeCluster} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := start(t, 5, 4)
+			for i, e := range c.endpoints {
+				e.Events = 3
+				if i > 0 {
+					e.SetFaults(wharfstandin.Faults{Limit: limit})
+				}
+			}
+			var calls sync.WaitGroup
+			started := time.Now()
+			for n := 0; time.Since(started) < learning+window+time.Second; n++ {
+				time.Sleep(20 * time.Millisecond)
+				calls.Go(func() { c.send(c.hosts[n%5], keyA, "POST", "/resume/x", fmt.Sprint("l", n), "") })
+			}
+			calls.Wait()
+			for _, e := range c.endpoints[1:] {
+				runs := e.Runs()
+				slices.SortFunc(runs, func(a, b wharfstandin.Run) int { return a.At.Compare(b.At) })
+				first := runs[0].At.Add(learning)
+				for i, r := range runs {
+					if r.At.Before(first) {
+						continue
+					}
+					count := 0
+					for _, later := range runs[i:] {
+						if later.At.Sub(r.At) < window {
+							count++
+						}
+					}
+					assert.Assert(t, count <= allowed, "%s got %d requests in %v, allowed %d", e.ID, count, window, allowed)
+				}
+				assert.Check(t, len(runs) >= int(limit*float64(window/time.Second)), "%s got only %d requests", e.ID, len(runs))
+			}
+		})
+	}
+}
--- a/wharf/state/wharfcall/call.go
+++ b/wharf/state/wharfcall/call.go
@@ -42,6 +42,9 @@
 	Tokens int64       `cbor:"5,keyasint"`
 }
 
+// NoLimit is the rate limit of an endpoint that names none.
+const NoLimit = -1
+
 // Response holds what the status and header of an endpoint's response say.
 type Response struct {
 	Status        int
@@ -49,4 +52,5 @@
 	NotRun        bool
 	WrongEndpoint bool          // another endpoint answered at the address
 	KeepAlive     time.Duration // how long the endpoint keeps the idle connection open, 0 if not given
+	RateLimit     float64       // requests per second that the endpoint takes from all hosts, or NoLimit
 }
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -37,13 +37,14 @@
 	Call              *wharfcall.Call
 	Attempt           wharfcall.Attempt
 	Address           netip.AddrPort
-	NonRepeatable     bool               // the request must not be sent twice
-	HeaderWritten     bool               // the sink has received the header in an earlier attempt
-	Streaming         bool               // the response is an event stream
-	FirstEventTimeout time.Duration      // longest wait for the response's header and first event
-	IdleTimeout       time.Duration      // longest pause between later reads
-	StallTimeout      time.Duration      // wait for the response's header after which OnStall is called; 0 for never
-	OnStall           func(stalled bool) // called with true, and with false when the wait ends
+	NonRepeatable     bool                       // the request must not be sent twice
+	HeaderWritten     bool                       // the sink has received the header in an earlier attempt
+	Streaming         bool                       // the response is an event stream
+	FirstEventTimeout time.Duration              // longest wait for the response's header and first event
+	IdleTimeout       time.Duration              // longest pause between later reads
+	StallTimeout      time.Duration              // wait for the response's header after which OnStall is called; 0 for never
+	OnStall           func(stalled bool)         // called with true, and with false when the wait ends
+	OnResponse        func(r wharfcall.Response) // called when the header of the endpoint's response has arrived; may be nil
 }
 
 // Result is the result of an attempt.
@@ -209,6 +210,9 @@
 func (a *attempt) handleResponse(response *http.Response) error {
 	decoded := a.forwarder.dialect.DecodeResponse(response.StatusCode, response.Header)
 	a.reuseFor = decoded.KeepAlive
+	if a.OnResponse != nil && !decoded.WrongEndpoint {
+		a.OnResponse(decoded)
+	}
 	switch {
 	case decoded.WrongEndpoint:
 		return a.discardResponse(response, errWrongEndpoint)
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -48,6 +48,7 @@
 	queueTime        time.Duration // over all attempts
 	endpoint         string        // ID of the endpoint of the last attempt
 	placementLoad    endpointLoad  // load of that endpoint at placement, as known to this host
+	endpointLimit    float64       // limit that its last response named, or wharfcall.NoLimit
 	crashes          int           // crashes counted under this request after the last attempt, 0 if that was none
 }
 
@@ -205,6 +206,7 @@
 		IdleTimeout:       gap,
 		StallTimeout:      wharftimeout.StallTimeout(o.route),
 		OnStall:           func(stalled bool) { o.setStalled(placement, stalled) },
+		OnResponse:        func(r wharfcall.Response) { o.endpointLimit = r.RateLimit },
 	}, o)
 	o.recordOutcome(placement, result)
 	return result
@@ -271,7 +273,7 @@
 	s.options.Metrics.Record(o.organisationName(), wharfmetrics.Online, wharfmetrics.Total, total)
 	klog.InfoS("request answered", "request-id", o.call.ID, "organisation", o.organisationName(), "route", o.route.Name,
 		"endpoint", o.endpoint, "endpoint-online", o.placementLoad.online, "endpoint-batch", o.placementLoad.batch,
-		"endpoint-slots", o.placementLoad.slots, "sends", o.sends, "runs", o.runs, "events", o.events,
+		"endpoint-slots", o.placementLoad.slots, "endpoint-limit", o.endpointLimit, "sends", o.sends, "runs", o.runs, "events", o.events,
 		"waited", o.queueTime.String(), "first", o.timeToFirstEvent.String(), "total", total.String(),
 		"configuration-version", o.table.Version)
 }
