An endpoint that says in its answers that it is leaving gets no new requests

Until now only the registration counted. The notice holds for the endpoint's incarnation, also if its registration lapses and comes back, and hosts tell it each other with their loads.

--- a/wagtailwharfd/wharfhost/limit_test.go
+++ b/wagtailwharfd/wharfhost/limit_test.go
@@ -58,3 +58,29 @@
 		})
 	}
 }
+
+func TestEndpointThatSaysItIsLeavingGetsNoNewRequests(t *testing.T) {
+	for name, start := range map[string]func(testing.TB, int, int) *cluster{"small": newCluster, "large": newLargeCluster} {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, 3, 3)
+			leaving := c.endpoints[0] // its registration stays as it is
+			leaving.SetFaults(wharfstandin.Faults{Leaving: true})
+			sent := 0
+			send := func() {
+				sent++
+				id := fmt.Sprint("l", sent)
+				c.assertComplete(c.send(c.hosts[sent%3], keyA, "POST", "/resume/x", id, ""), id)
+			}
+			c.await("the endpoint has answered", func() bool {
+				send()
+				return len(leaving.Runs()) > 0
+			})
+			before := len(leaving.Runs())
+			time.Sleep(200 * time.Millisecond) // a tenth of the time in which it may still get requests
+			for range 30 {
+				send()
+			}
+			assert.Equal(t, len(leaving.Runs()), before)
+		})
+	}
+}
--- a/wharf/state/wharfcall/call.go
+++ b/wharf/state/wharfcall/call.go
@@ -52,5 +52,6 @@
 	NotRun        bool
 	WrongEndpoint bool          // another endpoint answered at the address
 	KeepAlive     time.Duration // how long the endpoint keeps the idle connection open, 0 if not given
+	Leaving       bool          // the endpoint will end soon and is to get no new requests
 	RateLimit     float64       // requests per second that the endpoint takes from all hosts, or NoLimit
 }
--- a/wharf/state/wharffleet/announcement.go
+++ b/wharf/state/wharffleet/announcement.go
@@ -46,6 +46,7 @@
 	peerSent  map[string]uint64 // requests of other hosts, as they last reported
 	granted   map[string]int    // requests for which this host granted the slot and which are not reported yet
 	grantedAt time.Time
+	leaving   bool
 	goneSince time.Time // when the registration was found missing; zero while registered
 }
 
@@ -76,21 +77,30 @@
 	}
 }
 
-// Hear records what the header of the endpoint's response says, and reports whether the limit has changed.
+// Hear records what the header of the endpoint's response says, and reports whether that is new: another limit, or that the
+// endpoint is leaving.
 func (p *Placement) Hear(r wharfcall.Response) (changed bool) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	a, now := p.entry.announcement, time.Now()
+	a := p.entry.announcement
+	left := r.Leaving && !a.leaving
+	a.leaving = a.leaving || r.Leaving
+	changed = a.hearLimit(r, time.Now()) || left
+	if changed {
+		p.fleet.dirty[p.entry.ID] = true
+		p.fleet.changed()
+	}
+	return changed
+}
+
+// hearLimit records the limit in a response to this host and reports whether it differs from the one before.
+func (a *announcement) hearLimit(r wharfcall.Response, now time.Time) (changed bool) {
 	if r.RateLimit < 0 && a.heardAt.IsZero() {
 		return false // it has never named a limit
 	}
 	changed = a.ownRate != r.RateLimit || a.ownHeard.IsZero()
 	a.ownRate, a.ownHeard = r.RateLimit, now
 	a.setRate(r.RateLimit, now, now)
-	if changed {
-		p.fleet.dirty[p.entry.ID] = true
-		p.fleet.changed()
-	}
 	return changed
 }
 
@@ -136,7 +146,7 @@
 
 // report adds this host's statements to its load.
 func (a *announcement) report(load Load, now time.Time) Load {
-	load.Sent = a.sent
+	load.Sent, load.Leaving = a.sent, a.leaving
 	if !a.ownHeard.IsZero() {
 		load.Limit, load.LimitAge = a.ownRate, max(1, now.Sub(a.ownHeard))
 	}
@@ -145,6 +155,7 @@
 
 // hear applies the statements in another host's load.
 func (a *announcement) hear(host string, load Load, now time.Time) {
+	a.leaving = a.leaving || load.Leaving
 	if load.LimitAge > 0 {
 		a.setRate(load.Limit, now.Add(-load.LimitAge), now)
 	}
--- a/wharf/state/wharffleet/announcement_test.go
+++ b/wharf/state/wharffleet/announcement_test.go
@@ -33,7 +33,7 @@
 	return slots
 }
 
-func TestLimitIsSharedByAllHosts(t *testing.T) {
+func TestAnnouncementsAreSharedByAllHosts(t *testing.T) {
 	report := func(sent uint64) []Load { return []Load{{Endpoint: "e0", Online: 1, Sent: sent}} }
 	tests := []struct {
 		name   string
@@ -66,6 +66,18 @@
 		{"another host's older word does not", func(f *Fleet) {
 			f.ApplyChanges("a", []Load{{Endpoint: "e0", Limit: wharfcall.NoLimit, LimitAge: time.Minute}})
 		}, 2},
+		{"none while it leaves", func(f *Fleet) {
+			p := pick(t, f, false)
+			assert.Assert(t, p.Hear(wharfcall.Response{RateLimit: 2, Leaving: true}))
+			p.Release()
+			time.Sleep(10 * time.Second)
+		}, 0},
+		{"nor by another host's word, also after its registration has lapsed", func(f *Fleet) {
+			e := f.entries["e0"].Endpoint
+			f.ApplyChanges("a", []Load{{Endpoint: "e0", Leaving: true}})
+			f.Update(nil)
+			f.Update([]Endpoint{e})
+		}, 0},
 		{"a registration that lapses leaves it", func(f *Fleet) {
 			e := f.entries["e0"].Endpoint
 			f.Update(nil)
@@ -73,6 +85,7 @@
 		}, 2},
 		{"a new incarnation has none", func(f *Fleet) {
 			e := f.entries["e0"].Endpoint
+			f.ApplyChanges("a", []Load{{Endpoint: "e0", Leaving: true}})
 			e.Born = e.Born.Add(time.Second)
 			f.Update([]Endpoint{e})
 		}, slots},
--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -33,6 +33,7 @@
 	// LimitAge the time since then. It is 0 if no response has named a limit.
 	Limit    float64
 	LimitAge time.Duration
+	Leaving  bool // the endpoint has said in a response that it is leaving
 }
 
 // Change is a host's load on an endpoint on which it has changed.
@@ -81,6 +82,11 @@
 	backoff            time.Duration
 }
 
+// leaves reports whether the endpoint's registration or a response of it says that it is leaving.
+func (e *entry) leaves() bool {
+	return e.Leaving || e.announcement.leaving
+}
+
 // add changes the number of batch items or of online requests.
 func (l *Load) add(batch bool, change int) {
 	if batch {
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -293,7 +293,7 @@
 	now := time.Now()
 	free := 0
 	for e := range f.services[service].all() {
-		if !e.Leaving && e.available(false, now) && e.announcement.accepts(now) {
+		if !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
 			free += max(0, e.Slots-e.online-e.batch)
 		}
 	}
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -94,7 +94,7 @@
 		if i >= subset && sel.hasFree && float64(sel.freeSlots) >= minFreeShare*float64(sel.totalSlots) {
 			return
 		}
-		if e.Leaving || !e.available(sel.LastAttempt, sel.now) {
+		if e.leaves() || !e.available(sel.LastAttempt, sel.now) {
 			continue
 		}
 		sel.totalSlots += e.Slots
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -64,7 +64,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[id]
-	if e == nil || e.Leaving {
+	if e == nil || e.leaves() {
 		return nil, false
 	}
 	p := &Placement{Endpoint: e.Endpoint, fleet: f, entry: e, batch: batch, Suspect: suspect}
@@ -124,7 +124,7 @@
 		if !countBatch {
 			slots -= e.batch
 		}
-		if slots > 0 && !e.Leaving && e.available(false, now) && e.announcement.accepts(now) {
+		if slots > 0 && !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
 			free[e.Zone] += slots
 		}
 	}
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -231,8 +231,8 @@
 func (o *online) hear(placement *wharffleet.Placement, r wharfcall.Response) {
 	o.endpointLimit = r.RateLimit
 	if placement.Hear(r) {
-		klog.InfoS("endpoint limit changed", "request-id", o.call.ID, "endpoint", placement.Endpoint.ID,
-			"limit", r.RateLimit)
+		klog.InfoS("endpoint announcement changed", "request-id", o.call.ID, "endpoint", placement.Endpoint.ID,
+			"limit", r.RateLimit, "leaving", r.Leaving)
 	}
 }
 
