A resend during an outage of the store is not called not run

A caller that resends with its idempotency key was told that the request has not run when the store did not tell whether the key was reserved, though the earlier send had run.

--- a/wagtailwharfd/wharfdaemon/responses_test.go
+++ b/wagtailwharfd/wharfdaemon/responses_test.go
@@ -183,6 +183,7 @@
 	c := newCluster(t, s)
 	var mu sync.Mutex
 	refusedNotRun := map[string]bool{}
+	tries := map[string][]string{} // status, code and run state of each, for the failure's message
 	answered := map[string]bool{}
 	var clients sync.WaitGroup
 	for number := range 24 {
@@ -194,6 +195,7 @@
 				mu.Lock()
 				answered[body] = answered[body] || r.status == http.StatusOK
 				refusedNotRun[body] = r.status != http.StatusOK && r.runState == "not-run"
+				tries[body] = append(tries[body], fmt.Sprint(r.status, " ", r.code, " ", r.runState))
 				mu.Unlock()
 				time.Sleep(50 * time.Millisecond)
 			}
@@ -211,7 +213,7 @@
 		ran += runs
 		assert.Assert(t, runs <= 1, "%s ran %d times", body, runs)
 		if refusedNotRun[body] && !answered[body] {
-			assert.Equal(t, runs, 0, "%s ran although its last refusal said not-run", body)
+			assert.Equal(t, runs, 0, "%s ran although its last refusal said not-run: %q", body, tries[body])
 		}
 	}
 	assert.Assert(t, ran > 0)
@@ -288,3 +290,21 @@
 	assert.Assert(t, crashes <= maxPoisonCrashes, "%d endpoint crashes", crashes)
 	t.Logf("%d crashes, %d unrelated requests failed", crashes, failed)
 }
+
+// TestResendDuringAnOutageIsNotCalledNotRun guards against "not run" for a request that has run under its idempotency key.
+func TestResendDuringAnOutageIsNotCalledNotRun(t *testing.T) {
+	s := oneHost
+	s.editSettings = shortTimeouts
+	c := newCluster(t, s)
+	c.service.SetFaults(wharfhttpservice.Faults{DisconnectAfter: 1})
+	send := func() reply {
+		return c.nodes[0].send(http.MethodPost, "/services/ledger/entries", keyOf("alpha"),
+			http.Header{"Idempotency-Key": {"k"}}, "entry")
+	}
+	assert.Equal(t, send().runState, "unknown")
+	assert.Equal(t, c.service.Runs("entry"), 1)
+	c.platform.SetFaults(wharfplatform.Faults{Down: true})
+	r := send()
+	assert.Equal(t, r.code, "platform-unavailable")
+	assert.Equal(t, r.runState, "unknown")
+}
--- a/wharf/transport/wharfgateway/services.go
+++ b/wharf/transport/wharfgateway/services.go
@@ -145,13 +145,13 @@
 	return c.runReserved(w, request)
 }
 
-// reservationRefusal maps the error of a failed reservation to a refusal. The request was not sent, so it has not run
-// even if the reply of the store was lost.
+// reservationRefusal maps the error of a failed reservation to a refusal. If the store does not tell whether the key is
+// reserved, an earlier request with the key may have run.
 func reservationRefusal(err error) error {
 	if errors.Is(err, wharfonce.ErrReserved) || errors.Is(err, wharfonce.ErrKeyReused) {
 		return err
 	}
-	return errPlatform.WithRetryAfter(time.Second)
+	return errPlatform.WithRetryAfter(time.Second).MayHaveRun()
 }
 
 // runReserved sends a request that has a reservation, and frees the reservation if nothing was sent.
