A stream without a length that ends before its first event is broken off

The new case of TestOutcomes fails before. Polls for blocked requests are held for 2 s instead of 5 s, so that a host behind a dead connection knows a verdict sooner.

--- a/wharf/coordination/wharfblocklist/list.go
+++ b/wharf/coordination/wharfblocklist/list.go
@@ -18,8 +18,9 @@
 
 const (
 	table = "wharf-blocked"
-	// pollWait is how long the store may hold a poll. Rows change a few times a day, and hosts tell each other as well.
-	pollWait     = 5 * time.Second
+	// pollWait is how long the store may hold a poll. A dead connection is noticed only when a poll times out, and a host
+	// that is cut off from the others must know a verdict within a few seconds.
+	pollWait     = 2 * time.Second
 	replyTimeout = time.Second
 	// pollInterval bounds the polls while rows change in quick succession.
 	pollInterval = 100 * time.Millisecond
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -333,9 +333,11 @@
 	return nil
 }
 
-// endStream finishes a stream. Bytes after the last complete event mean that the stream was truncated.
+// endStream finishes a stream. Bytes after the last complete event mean that the stream was truncated, and so does the end
+// of the connection before the first event.
 func (a *attempt) endStream(response *http.Response, rest []byte) error {
-	if len(rest) > 0 {
+	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if len(rest) > 0 || unframed && a.result.Events == 0 && !a.Attempt.Resumes {
 		return wharfhttpconn.ErrConnectionBroken
 	}
 	return a.writeHeader(response)
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -193,6 +193,7 @@
 		{"stream in pieces", []string{stream("x", 1, 2), chunk("id: 3\n"), chunk("data: 3\n\n"), lastChunk}, 0, event(1) + event(2) + event(3)},
 		{"stream without a length", []string{head("x", "") + event(1), "close"}, 0, event(1)},
 		{"stream without a length that ends inside an event", []string{head("x", "") + event(1) + "id: 2", "close"}, wharfoutcome.ConnectionLost, event(1)},
+		{"stream without a length that ends before its first event", []string{head("x", ""), "close"}, wharfoutcome.ConnectionLost, ""},
 		{"stream without a length that is reset", []string{head("x", "") + event(1), "reset"}, wharfoutcome.ConnectionLost, ""},
 		{"chunked stream that ends early", []string{stream("x", 1, 2), "close"}, wharfoutcome.ConnectionLost, event(1) + event(2)},
 		{"chunked stream that ends inside an event", []string{stream("x", 1, 1) + chunk("id: 2\nda") + lastChunk}, wharfoutcome.ConnectionLost, event(1)},
