--- a/wagtailwharfd/wharfhost/crash.go
+++ b/wagtailwharfd/wharfhost/crash.go
@@ -40,7 +40,7 @@
 	if len(cleared) == 0 {
 		return
 	}
-	h.blocklist.Withdraw(cleared)
+	h.blocklist.Withdraw(cleared, true)
 	h.tellCrashes(wharfhostcalls.CrashReport{Cleared: cleared})
 }
 
@@ -48,6 +48,7 @@
 func (h *Host) takeCrashReport(report wharfhostcalls.CrashReport) {
 	now := time.Now()
 	h.crashes.Clear(report.Cleared)
+	h.blocklist.Withdraw(report.Cleared, false)
 	for _, crash := range report.Crashes {
 		_, verdicts := h.crashes.Record(crash, now)
 		h.putInForce(verdicts, publishDelay+rand.N(publishDelay))
--- a/wharf/coordination/wharfblocklist/list.go
+++ b/wharf/coordination/wharfblocklist/list.go
@@ -37,6 +37,7 @@
 	mu       sync.Mutex
 	version  uint64
 	rows     map[wharfcrash.Identity]uint64 // version of the row of each identity
+	own      map[wharfcrash.Identity]bool   // identities that this host has published
 	pending  map[wharfcrash.Identity]change
 	wake     chan struct{}
 }
@@ -52,7 +53,7 @@
 func New(store wharfrecords.Store, tracker *wharfcrash.Tracker) *List {
 	l := &List{
 		store: store, tracker: tracker, rows: map[wharfcrash.Identity]uint64{},
-		pending: map[wharfcrash.Identity]change{}, wake: make(chan struct{}, 1),
+		own: map[wharfcrash.Identity]bool{}, pending: map[wharfcrash.Identity]change{}, wake: make(chan struct{}, 1),
 	}
 	l.follower = wharffollower.New("blocked requests", pollInterval, l.knownVersion)
 	return l
@@ -72,14 +73,15 @@
 	l.notify()
 }
 
-// Withdraw removes the verdicts about identities.
-func (l *List) Withdraw(ids []wharfcrash.Identity) {
+// Withdraw removes the verdicts about identities which this host has published or, with all set, that it has read.
+func (l *List) Withdraw(ids []wharfcrash.Identity, all bool) {
 	l.mu.Lock()
 	for _, id := range ids {
 		delete(l.pending, id)
-		if l.rows[id] != 0 {
+		if l.own[id] || all && l.rows[id] != 0 {
 			l.pending[id] = change{remove: true}
 		}
+		delete(l.own, id)
 	}
 	l.mu.Unlock()
 	l.notify()
@@ -211,6 +213,9 @@
 		_, err := l.store.Commit(ctx, wharfrecords.Transaction{Deletes: []wharfrecords.Row{row}})
 		return err
 	}
+	l.mu.Lock()
+	l.own[id] = true // also if the reply is lost
+	l.mu.Unlock()
 	var err error
 	if row.Value, err = cbor.Marshal(c.verdict); err != nil {
 		return err
--- a/wharf/coordination/wharfblocklist/list_test.go
+++ b/wharf/coordination/wharfblocklist/list_test.go
@@ -47,12 +47,25 @@
 		down.Store(false)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, cutOff())
-		_, startedLater := start()
+		late, startedLater := start()
 		assert.Assert(t, startedLater(), "known before the first request")
 
-		writer.Withdraw(bad.Parts)
+		for _, withdraw := range []func(){
+			func() { late.Withdraw(bad.Parts, true) },    // by a host that has read it and seen an answer
+			func() { writer.Withdraw(bad.Parts, false) }, // by its writer, which has heard of the answer
+		} {
+			withdraw()
+			time.Sleep(2 * time.Second)
+			assert.Assert(t, !cutOff())
+			writer.Publish(verdict, 0)
+			time.Sleep(2 * time.Second)
+			assert.Assert(t, cutOff())
+		}
+		late.Withdraw(bad.Parts, false)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, cutOff(), "the verdict is another host's")
+		writer.Withdraw(bad.Parts, false)
 		time.Sleep(2 * time.Second)
-		assert.Assert(t, !cutOff())
 		writer.Publish(wharfcrash.Verdict{Identity: bad.Parts[0], At: time.Now().Add(-time.Hour)}, time.Second)
 		time.Sleep(4 * time.Second)
 		page, err := store.Read(ctx, wharfrecords.Range{Table: table})
--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -179,11 +179,11 @@
 	}
 }
 
-// Block applies a verdict of another host.
+// Block applies a verdict of another host, unless this host has seen an answer begin since the last crash.
 func (t *Tracker) Block(v Verdict, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if Expired(v, now) {
+	if Expired(v, now) || t.proven[v.Identity].After(v.At) {
 		return
 	}
 	s := t.suspect(v.Identity)
--- a/wharf/state/wharfcrash/tracker_test.go
+++ b/wharf/state/wharfcrash/tracker_test.go
@@ -150,4 +150,8 @@
 	tracker.Block(Verdict{Identity: bad.Parts[0], At: now.Add(-entryTTL)}, now)
 	_, blocked = tracker.Blocked(bad, now)
 	assert.Assert(t, !blocked, "an old verdict does not hold")
+	tracker.Answered(bad, now)
+	tracker.Block(Verdict{Identity: bad.Parts[0], At: now.Add(-time.Second)}, now)
+	_, blocked = tracker.Blocked(bad, now)
+	assert.Assert(t, !blocked, "an answer has begun since")
 }
