--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -154,4 +154,22 @@
 mutant slow-readers-kept wharf/transport/wharffrontend/server.go \
 	's/err := connection\.SetWriteDeadline\(deadline\)/var err error/' ./wagtailwharfd/wharfhost TestCallerThatDoesNotReadIsDropped
 
+host=./wagtailwharfd/wharfhost
+mutant parts-not-counted wharf/state/wharfcrash/request.go \
+	's/for _, part := range parts \{/for _, part := range parts[:0] {/' $host TestPromptPartThatCrashesEndpointsIsNotSentOn
+mutant answers-clear-nothing wharf/state/wharfcrash/tracker.go \
+	's/for _, id := range r\.identities\(\) \{\n\t\tif t\.suspects\[id\] != nil/for _, id := range r.identities()[:0] {\n\t\tif t.suspects[id] != nil/' ./wharf/state/wharfcrash TestBlockedIdentity
+mutant verdicts-not-in-store wharf/coordination/wharfblocklist/list.go \
+	's/l\.tracker\.Block\(v, time\.Now\(\)\)//' ./wharf/coordination/wharfblocklist TestVerdictsReach
+mutant item-left-alone wharf/coordination/wharfjobrunner/start.go \
+	's/i\.finished \|\| now\.Before/i.finished || i.disconnects >= 6 || now.Before/' ./wharf/coordination/wharfjobrunner TestItemUnderWhichEndpointsCrashedIsRunAgain
+mutant limit-ignored wharf/state/wharffleet/announcement.go \
+	's/return a\.tokens >= 1/return true/' $host TestEndpointsGetNoMoreThanTheLimitThatTheyName
+mutant limit-of-each-host wharf/state/wharffleet/announcement.go \
+	's/a\.take\(float64\(requests-counted\), now\)//' $host TestEndpointsGetNoMoreThanTheLimitThatTheyName
+mutant leaving-notice-ignored wharf/state/wharffleet/endpoint.go \
+	's/return e\.Leaving \|\| e\.announcement\.leaving/return e.Leaving/' $host TestEndpointThatSaysItIsLeavingGetsNoNewRequests
+mutant resend-called-not-run wharf/transport/wharfgateway/services.go \
+	's/WithRetryAfter\(time\.Second\)\.MayHaveRun\(\)/WithRetryAfter(time.Second)/' $daemon TestResendDuringAnOutageIsNotCalledNotRun
+
 exit $failed
