Requests with a part that crashes endpoints that come one after the other do not hide the part

Found by reading: a request that is resent until it is blocked itself, at its third crash, took these crashes off the part as well, since they were explained. With requests that come one at a time, each with its retries, the part was never blocked, at three crashes each. A whole request that is blocked now leaves the crashes with its own parts, and the first crash under another request with the part blocks it. The new case of TestBlockedIdentityIsTheOneThatExplainsTheCrashes fails before.

--- a/wagtailwharfd/wharfhost/crash.go
+++ b/wagtailwharfd/wharfhost/crash.go
@@ -62,7 +62,7 @@
 func (h *Host) putInForce(verdicts []wharfcrash.Verdict, delay time.Duration) {
 	for _, v := range verdicts {
 		h.metrics.Count("blocked")
-		klog.InfoS("request blocked", "identity", fmt.Sprintf("%016x", uint64(v.Identity)), "crashes", v.Crashes,
+		klog.InfoS("request blocked", "identity", v.Identity.String(), "crashes", v.Crashes,
 			"age", time.Since(v.At).String(), "source", "crashes")
 		h.blocklist.Publish(v, delay)
 	}
@@ -103,9 +103,9 @@
 			hosts = append(hosts, p.Host)
 		}
 	}
-	if wharfrank.Order(fmt.Sprint(id), hosts)[0] != h.settings.Host || !h.crashes.TakeTrial(id, time.Now()) {
+	if wharfrank.Order(id.String(), hosts)[0] != h.settings.Host || !h.crashes.TakeTrial(id, time.Now()) {
 		return false
 	}
-	klog.InfoS("trial of a blocked request", "identity", fmt.Sprintf("%016x", uint64(id)))
+	klog.InfoS("trial of a blocked request", "identity", id.String())
 	return true
 }
--- a/wharf/coordination/wharfblocklist/list.go
+++ b/wharf/coordination/wharfblocklist/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -192,7 +191,7 @@
 	l.mu.Unlock()
 	for id, c := range due {
 		if err := l.write(ctx, id, c); err != nil {
-			klog.InfoS("failed to write blocked request; retrying", "identity", key(id), "error", err.Error())
+			klog.InfoS("failed to write blocked request; retrying", "identity", id.String(), "error", err.Error())
 			left = true
 			continue
 		}
@@ -208,7 +207,7 @@
 func (l *List) write(ctx context.Context, id wharfcrash.Identity, c change) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	row := wharfrecords.Row{Table: table, Key: key(id)}
+	row := wharfrecords.Row{Table: table, Key: id.String()}
 	if c.remove {
 		_, err := l.store.Commit(ctx, wharfrecords.Transaction{Deletes: []wharfrecords.Row{row}})
 		return err
@@ -223,8 +222,3 @@
 	_, err = l.store.Commit(ctx, wharfrecords.Transaction{Puts: []wharfrecords.Row{row}})
 	return err
 }
-
-// key returns the key of an identity's row.
-func key(id wharfcrash.Identity) string {
-	return fmt.Sprintf("%016x", uint64(id))
-}
--- a/wharf/state/wharfcrash/request.go
+++ b/wharf/state/wharfcrash/request.go
@@ -1,6 +1,7 @@
 package wharfcrash
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,11 @@
 // Identity is a hash of what requests may have in common: the whole request, or a part of the prompt.
 type Identity uint64
 
+// String returns the identity in hexadecimal, as in logs and keys of rows.
+func (i Identity) String() string {
+	return fmt.Sprintf("%016x", uint64(i))
+}
+
 // Request holds the identities of a request.
 type Request struct {
 	Whole Identity
--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -64,7 +64,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	if t.strikeBlocked(c, now) || !t.explained[c.Endpoint].IsZero() {
+	if t.strikeBlockedPart(c, now) || !t.isBlocked(c.Request.Whole) && !t.explained[c.Endpoint].IsZero() {
 		return 0, nil
 	}
 	for _, id := range c.Request.identities() {
@@ -72,27 +72,38 @@
 		s.strike(c, now)
 		s.proven = s.proven || slices.Contains(c.Proven, id) || !t.proven[id].IsZero()
 		crashes = max(crashes, s.crashes)
-		if s.guilty(id == c.Request.Whole) {
-			s.blocked = true
-			t.explain(id)
-			return crashes, []Verdict{s.verdict(id)}
+		whole := id == c.Request.Whole
+		if s.blocked || !s.guilty(whole) {
+			continue
+		}
+		s.blocked = true
+		var spared []Identity
+		if whole {
+			spared = c.Request.Parts // others of the same kind may follow
 		}
+		t.explain(id, spared)
+		return crashes, []Verdict{s.verdict(id)}
 	}
 	return crashes, nil
 }
 
-// strikeBlocked adds a crash to the identities of its request that are blocked already, and reports whether there are any.
-func (t *Tracker) strikeBlocked(c Crash, now time.Time) (found bool) {
-	for _, id := range c.Request.identities() {
-		if s := t.suspects[id]; s != nil && s.blocked {
-			s.strike(c, now)
-			t.explain(id)
+// strikeBlockedPart adds a crash to the parts of its request that are blocked already, and reports whether there are any.
+func (t *Tracker) strikeBlockedPart(c Crash, now time.Time) (found bool) {
+	for _, id := range c.Request.Parts {
+		if t.isBlocked(id) {
+			t.suspects[id].strike(c, now)
+			t.explain(id, nil)
 			found = true
 		}
 	}
 	return found
 }
 
+func (t *Tracker) isBlocked(id Identity) bool {
+	s := t.suspects[id]
+	return s != nil && s.blocked
+}
+
 func (t *Tracker) suspect(id Identity) *suspect {
 	s := t.suspects[id]
 	if s == nil {
@@ -127,14 +138,14 @@
 	return Verdict{Identity: id, Crashes: s.crashes, At: s.at}
 }
 
-// explain takes the crashes under a blocked identity off the others.
-func (t *Tracker) explain(blocked Identity) {
+// explain takes the crashes under a blocked identity off the others, but for the spared ones.
+func (t *Tracker) explain(blocked Identity, spared []Identity) {
 	b := t.suspects[blocked]
 	for endpoint := range b.endpoints {
 		t.explained[endpoint] = b.at
 	}
 	for id, s := range t.suspects {
-		if s.blocked {
+		if s.blocked || slices.Contains(spared, id) {
 			continue
 		}
 		for endpoint := range b.endpoints {
--- a/wharf/state/wharfcrash/tracker_test.go
+++ b/wharf/state/wharfcrash/tracker_test.go
@@ -53,6 +53,14 @@
 			[]step{crash(1, 1, "first", "x"), crash(2, 1, "first", "x"), crash(3, 1, "first", "x")},
 			[]Request{requestOf(1, "first", "x")}, []Request{requestOf(2, "first", "x")},
 		},
+		{
+			"requests with a part, each resent until it is blocked itself",
+			[]step{
+				crash(1, 1, "first", "bad"), crash(2, 1, "first", "bad"), crash(3, 1, "first", "bad"),
+				crash(4, 2, "first", "bad"),
+			},
+			[]Request{requestOf(1, "first", "bad"), requestOf(3, "first", "bad")}, []Request{requestOf(4, "first")},
+		},
 		{
 			"random crashes, with answers between them",
 			[]step{
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -70,17 +69,6 @@
 	return o.run(ctx)
 }
 
-// refuseBlocked refuses a request that has crashed endpoints or is like others that have.
-func (o *online) refuseBlocked(verdict wharfcrash.Verdict) error {
-	klog.InfoS("request is blocked", "request-id", o.call.ID, "identity", fmt.Sprintf("%016x", uint64(verdict.Identity)),
-		"crashes", verdict.Crashes, "age", time.Since(verdict.At).String(), "runs", o.runs,
-		"shared-parts", strings.Join(o.call.SharedParts, ","))
-	if o.runs > 0 {
-		return errCrashesEndpoints.MayHaveRun()
-	}
-	return errCrashesEndpoints
-}
-
 // admit enforces the organisation's rate limit.
 func (q *request) admit(ctx context.Context) error {
 	if q.organisation == nil {
@@ -130,14 +118,6 @@
 	}
 }
 
-// blocked returns the verdict against the request, unless its next attempt is a trial or continues an answer.
-func (o *online) blocked() (wharfcrash.Verdict, bool) {
-	if o.answered || o.trial && o.sends == 0 {
-		return wharfcrash.Verdict{}, false
-	}
-	return o.server.options.Crashes.Blocked(o.identities, time.Now())
-}
-
 // endpointLoad is the number of online requests and batch items that ran on an endpoint when a request was placed
 // there, and its number of slots.
 type endpointLoad struct {
@@ -227,15 +207,6 @@
 	}
 }
 
-// hear records what an endpoint says of itself.
-func (o *online) hear(placement *wharffleet.Placement, r wharfcall.Response) {
-	o.endpointLimit = r.RateLimit
-	if placement.Hear(r) {
-		klog.InfoS("endpoint announcement changed", "request-id", o.call.ID, "endpoint", placement.Endpoint.ID,
-			"limit", r.RateLimit, "leaving", r.Leaving)
-	}
-}
-
 // setStalled records whether an endpoint is stalled. A stalled endpoint gets fewer requests.
 func (o *online) setStalled(placement *wharffleet.Placement, stalled bool) {
 	placement.SetStalled(stalled)
@@ -358,14 +329,6 @@
 	return nil
 }
 
-// noteAnswer records that an endpoint has begun to answer. An error does not show that it runs the request.
-func (o *online) noteAnswer() {
-	if !o.answered && o.status < http.StatusMultipleChoices {
-		o.answered = true
-		o.server.options.ReportAnswer(o.identities)
-	}
-}
-
 // WriteEvent forwards an event, and flushes unless another event follows immediately.
 func (o *online) WriteEvent(e wharfframes.Event, more bool) error {
 	defer o.noteAnswer()
