Soak: requests with a part of their prompts that crashes endpoints, beside all other faults

They are drawn from a generator of their own, so that seeds draw the same other faults as before. The stand-in endpoint crashes as a whole behind its proxy.

--- a/wharf-load/wharfsoak/check.go
+++ b/wharf-load/wharfsoak/check.go
@@ -68,6 +68,7 @@
 		t.checkJob(j, runs)
 	}
 	t.checkRateLimit(runs)
+	t.checkCrashingPrompts(runs)
 	t.checkServedShare(recoveredAt)
 }
 
--- a/wharf-load/wharfsoak/check_test.go
+++ b/wharf-load/wharfsoak/check_test.go
@@ -47,6 +47,24 @@
 	assert.Equal(t, findingsFor(r), "")
 }
 
+func TestChecksFindCrashingPromptsThatGoOn(t *testing.T) {
+	for _, c := range []struct {
+		interval time.Duration
+		findings int
+	}{{400 * time.Millisecond, 0}, {800 * time.Millisecond, 1}} {
+		s := &system{}
+		runs := map[string][]wharfstandin.Run{}
+		for n := range 12 {
+			r, run := newServedRequest("resume")
+			r.id, run.At = fmt.Sprint(n), r.startedAt.Add(time.Duration(n)*c.interval)
+			s.crashing = append(s.crashing, r)
+			runs[r.id] = []wharfstandin.Run{run}
+		}
+		(&traffic{system: s}).checkCrashingPrompts(runs)
+		assert.Equal(t, len(s.findings.list()), c.findings, "%v", c.interval)
+	}
+}
+
 func TestChecksFindViolations(t *testing.T) {
 	for _, c := range []struct {
 		want   string
--- a/wharf-load/wharfsoak/faults.go
+++ b/wharf-load/wharfsoak/faults.go
@@ -134,13 +134,13 @@
 		}
 	},
 	"endpoint-grey": func(ctx context.Context, s *system, e faultEvent) {
-		s.withEndpointFaults(ctx, e, wharfstandin.Faults{ErrorRate: greyFailureShare, RejectBody: rejectedBody})
+		s.withEndpointFaults(ctx, e, wharfstandin.Faults{ErrorRate: greyFailureShare, RejectBody: rejectedBody, CrashPart: crashingPart})
 	},
 	"endpoint-breaks": func(ctx context.Context, s *system, e faultEvent) {
-		s.withEndpointFaults(ctx, e, wharfstandin.Faults{BreakRate: greyFailureShare, RejectBody: rejectedBody})
+		s.withEndpointFaults(ctx, e, wharfstandin.Faults{BreakRate: greyFailureShare, RejectBody: rejectedBody, CrashPart: crashingPart})
 	},
 	"endpoint-full": func(ctx context.Context, s *system, e faultEvent) {
-		s.withEndpointFaults(ctx, e, wharfstandin.Faults{Full: true, RejectBody: rejectedBody})
+		s.withEndpointFaults(ctx, e, wharfstandin.Faults{Full: true, RejectBody: rejectedBody, CrashPart: crashingPart})
 	},
 	"endpoint-crash": func(ctx context.Context, s *system, e faultEvent) { s.crashEndpoint(ctx, e) },
 	"key-withdrawn": func(ctx context.Context, s *system, e faultEvent) {
@@ -150,12 +150,14 @@
 	},
 }
 
-// scheduleFaults draws the faults of a run, ordered by start time; faults may overlap. Peer faults were added later and
-// are drawn from a separate generator, so that existing seeds still draw the same other faults.
+// scheduleFaults draws the faults of a run, ordered by start time; faults may overlap. Peer and prompt faults were
+// added later and are drawn from separate generators, so that existing seeds still draw the same other faults.
 func scheduleFaults(rng *rand.Rand, s *system) []faultEvent {
 	events := drawFaults(rng, baseFaults, minFaults+rng.IntN(extraFaults), s)
 	peerRNG := newRand(^s.options.Seed)
 	events = append(events, drawFaults(peerRNG, peerFaults, peerRNG.IntN(maxPeerFaults+1), s)...)
+	promptRNG := newRand(s.options.Seed ^ promptFaultSeed)
+	events = append(events, drawFaults(promptRNG, promptFaults, promptRNG.IntN(2), s)...)
 	slices.SortFunc(events, func(a, b faultEvent) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.kind, b.kind))
 	})
@@ -293,7 +295,7 @@
 	defer ep.faults.begin()()
 	ep.current().SetFaults(faults)
 	wharfpause.For(ctx, e.duration)
-	ep.current().SetFaults(wharfstandin.Faults{RejectBody: rejectedBody})
+	ep.current().SetFaults(usualFaults)
 }
 
 // crashEndpoint stops an endpoint abruptly. Its row is removed after crashedRowDelay, and a new endpoint later starts
--- a/wharf-load/wharfsoak/peer_faults.go
+++ b/wharf-load/wharfsoak/peer_faults.go
@@ -28,10 +28,12 @@
 
 // faultByKind returns the function that injects a kind of fault, or nil if the kind is unknown.
 func faultByKind(kind string) faultFunc {
-	if f := baseFaults[kind]; f != nil {
-		return f
+	for _, kinds := range []map[string]faultFunc{baseFaults, peerFaults, promptFaults} {
+		if f := kinds[kind]; f != nil {
+			return f
+		}
 	}
-	return peerFaults[kind]
+	return nil
 }
 
 // partitionPeers drops all traffic from host i to host j where cut(i, j), for the duration of the event.
--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -44,6 +44,9 @@
 	rejectedBody = "impossible"
 )
 
+// usualFaults are what endpoints do to bad requests while they have no fault.
+var usualFaults = wharfstandin.Faults{RejectBody: rejectedBody, CrashPart: crashingPart}
+
 // ErrNotReady is returned when the daemons do not become ready at the start of a run.
 var ErrNotReady = errors.New("daemons did not become ready")
 
@@ -60,6 +63,7 @@
 	findings      findings
 
 	mu            sync.Mutex
+	crashing      []*request // requests with crashingPart
 	configuration wharfstandin.Configuration
 	revocations   []span // when revocableKey was revoked, starting with the store's reply
 }
@@ -151,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	instance.SetFaults(wharfstandin.Faults{RejectBody: rejectedBody})
+	instance.SetFaults(usualFaults)
 	e.proxy.SetTarget(netip.MustParseAddrPort(instance.Address))
 	e.instances = append(e.instances, instance)
 	e.down = false
@@ -276,7 +280,7 @@
 				s.findings.add("could not restart endpoint %d: %v", i, err)
 			}
 		}
-		e.current().SetFaults(wharfstandin.Faults{RejectBody: rejectedBody})
+		e.current().SetFaults(usualFaults)
 	}
 	for _, h := range s.hosts {
 		h.storeProxy.SetFaults(wharfproxy.Faults{})
