A host that has missed a clearance makes a trial of its own, later

Found by reading: only one host makes the trials of a blocked identity. A host that was told of the verdict and not of its clearance refused sound requests for ten minutes. Hosts that do not make the trials may after four times the delay; a trial that fails is told to all and starts the delay anew. New assertions in TestTrialsClearWrongVerdictsAndAreFew.

--- a/wagtailwharfd/wharfhost/crash.go
+++ b/wagtailwharfd/wharfhost/crash.go
@@ -95,7 +95,7 @@
 }
 
 // tryBlocked reports whether this host may run a request with a blocked identity, as the trial that may clear it. One
-// host of the fleet makes the trials of an identity.
+// host of the fleet makes the trials of an identity, as long as it gets such requests.
 func (h *Host) tryBlocked(id wharfcrash.Identity) bool {
 	hosts := []string{h.settings.Host}
 	for _, p := range h.gossip.Peers() {
@@ -103,7 +103,8 @@
 			hosts = append(hosts, p.Host)
 		}
 	}
-	if wharfrank.Order(id.String(), hosts)[0] != h.settings.Host || !h.crashes.TakeTrial(id, time.Now()) {
+	owner := wharfrank.Order(id.String(), hosts)[0] == h.settings.Host
+	if !h.crashes.TakeTrial(id, owner, time.Now()) {
 		return false
 	}
 	klog.InfoS("trial of a blocked request", "identity", id.String())
--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -19,6 +19,9 @@
 	// with each crash beyond crashesToBlock, up to maxTrialDoublings times.
 	firstTrialDelay   = 15 * time.Second
 	maxTrialDoublings = 6
+	// otherHostsFactor lengthens the delay for hosts that do not make the trials of an identity: only a host that has missed
+	// that the identity was cleared waits so long.
+	otherHostsFactor = 4
 	// maxEntries is the number of entries from which every call removes expired ones.
 	maxEntries  = 20_000
 	sweepPeriod = time.Minute
@@ -239,12 +242,19 @@
 }
 
 // TakeTrial reports whether one request with a blocked identity may be run now, to see whether the verdict still holds.
-// Another one may not before the delay has passed again.
-func (t *Tracker) TakeTrial(id Identity, now time.Time) bool {
+// Another one may not before the delay has passed again. owner is true at the host that makes the trials of the identity.
+func (t *Tracker) TakeTrial(id Identity, owner bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.suspects[id]
-	if s == nil || !s.blocked || now.Sub(s.at) < firstTrialDelay<<min(max(0, s.crashes-crashesToBlock), maxTrialDoublings) {
+	if s == nil || !s.blocked {
+		return false
+	}
+	delay := firstTrialDelay << min(max(0, s.crashes-crashesToBlock), maxTrialDoublings)
+	if !owner {
+		delay *= otherHostsFactor
+	}
+	if now.Sub(s.at) < delay {
 		return false
 	}
 	s.at = now
--- a/wharf/state/wharfcrash/tracker_test.go
+++ b/wharf/state/wharfcrash/tracker_test.go
@@ -134,7 +134,7 @@
 	}
 	trials := 0
 	for now := start; now.Before(start.Add(10 * time.Minute)); now = now.Add(time.Second) {
-		if tracker.TakeTrial(bad.Parts[0], now) {
+		if tracker.TakeTrial(bad.Parts[0], true, now) {
 			tracker.Record(Crash{Endpoint: uint64(100 + trials), Request: bad}, now)
 			trials++
 		}
@@ -145,9 +145,11 @@
 	for endpoint := range uint64(3) {
 		wrong.Record(Crash{Endpoint: endpoint, Request: requestOf(int(endpoint), "bad")}, start)
 	}
-	assert.Assert(t, !wrong.TakeTrial(bad.Parts[0], start.Add(firstTrialDelay-time.Second)))
-	assert.Assert(t, wrong.TakeTrial(bad.Parts[0], start.Add(firstTrialDelay)))
-	assert.Assert(t, !wrong.TakeTrial(bad.Parts[0], start.Add(firstTrialDelay)), "one at a time")
+	assert.Assert(t, !wrong.TakeTrial(bad.Parts[0], true, start.Add(firstTrialDelay-time.Second)))
+	assert.Assert(t, !wrong.TakeTrial(bad.Parts[0], false, start.Add(firstTrialDelay)), "another host makes the trials")
+	assert.Assert(t, wrong.TakeTrial(bad.Parts[0], true, start.Add(firstTrialDelay)))
+	assert.Assert(t, !wrong.TakeTrial(bad.Parts[0], true, start.Add(firstTrialDelay)), "one at a time")
+	assert.Assert(t, wrong.TakeTrial(bad.Parts[0], false, start.Add(5*firstTrialDelay)), "this host missed what came of it")
 	assert.Equal(t, len(wrong.Answered(bad, start)), 1)
 	_, blocked := wrong.Blocked(bad, start)
 	assert.Assert(t, !blocked)
