--- a/wharf/coordination/wharfblocklist/list.go
+++ b/wharf/coordination/wharfblocklist/list.go
@@ -180,7 +180,7 @@
 	due := map[wharfcrash.Identity]change{}
 	for id, c := range l.pending {
 		switch {
-		case !c.remove && !c.after.IsZero() && l.rows[id] != 0:
+		case !c.remove && l.rows[id] != 0:
 			delete(l.pending, id) // written by another host
 		case time.Now().Before(c.after):
 			left = true
