A blocked request takes no crashes off the part that crashes endpoints

Found by reading: a sound request under which three endpoints crashed, with its retries, was blocked itself and thereby explained these crashes at hosts that heard of it first; the part that crashed them had to crash three more. Only a part explains crashes now. The new case of TestBlockedIdentityIsTheOneThatExplainsTheCrashes fails before.

--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -33,7 +33,7 @@
 	mu        sync.Mutex
 	suspects  map[Identity]*suspect
 	proven    map[Identity]time.Time // when an answer last began, by part
-	explained map[uint64]time.Time   // endpoints whose crash a blocked identity explains
+	explained map[uint64]time.Time   // endpoints whose crash a blocked part explains
 	lastSweep time.Time
 }
 
@@ -67,7 +67,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	if t.strikeBlockedPart(c, now) || !t.isBlocked(c.Request.Whole) && !t.explained[c.Endpoint].IsZero() {
+	if t.strikeBlockedPart(c, now) || !t.explained[c.Endpoint].IsZero() {
 		return 0, nil
 	}
 	for _, id := range c.Request.identities() {
@@ -80,14 +80,13 @@
 			continue
 		}
 		s.blocked = true
-		var spared []Identity
-		if whole {
-			spared = c.Request.Parts // others of the same kind may follow
+		verdicts = append(verdicts, s.verdict(id))
+		if !whole {
+			t.explain(id)
+			break
 		}
-		t.explain(id, spared)
-		return crashes, []Verdict{s.verdict(id)}
 	}
-	return crashes, nil
+	return crashes, verdicts
 }
 
 // strikeBlockedPart adds a crash to the parts of its request that are blocked already, and reports whether there are any.
@@ -95,7 +94,7 @@
 	for _, id := range c.Request.Parts {
 		if t.isBlocked(id) {
 			t.suspects[id].strike(c, now)
-			t.explain(id, nil)
+			t.explain(id)
 			found = true
 		}
 	}
@@ -141,14 +140,15 @@
 	return Verdict{Identity: id, Crashes: s.crashes, At: s.at}
 }
 
-// explain takes the crashes under a blocked identity off the others, but for the spared ones.
-func (t *Tracker) explain(blocked Identity, spared []Identity) {
+// explain takes the crashes under a blocked part off all other identities. A whole request explains nothing: it may only
+// have been there, or share a part with others that crash endpoints.
+func (t *Tracker) explain(blocked Identity) {
 	b := t.suspects[blocked]
 	for endpoint := range b.endpoints {
 		t.explained[endpoint] = b.at
 	}
 	for id, s := range t.suspects {
-		if s.blocked || slices.Contains(spared, id) {
+		if s.blocked {
 			continue
 		}
 		for endpoint := range b.endpoints {
--- a/wharf/state/wharfcrash/tracker_test.go
+++ b/wharf/state/wharfcrash/tracker_test.go
@@ -65,6 +65,14 @@
 		},
 		[]Request{requestOf(1, "first", "bad"), requestOf(3, "first", "bad")}, []Request{requestOf(4, "first")},
 	},
+	{
+		"a part beside a sound request that was there each time",
+		[]step{
+			crash(1, 1, "rare"), crash(1, 11, "bad"), crash(2, 1, "rare"), crash(2, 12, "bad"), crash(3, 1, "rare"),
+			crash(3, 13, "bad"),
+		},
+		[]Request{requestOf(4, "bad"), requestOf(1, "rare")}, []Request{requestOf(2, "rare")},
+	},
 	{
 		"random crashes, with answers between them",
 		[]step{
