--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -37,7 +37,7 @@
 	lastSweep time.Time
 }
 
-// suspect is what speaks against an identity since an answer with it last began.
+// suspect is the evidence against an identity since an answer with it last began.
 type suspect struct {
 	endpoints map[uint64]bool // that have crashed
 	requests  map[Identity]bool
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -86,7 +86,7 @@
 	Jobs             *wharfjobstore.Store
 	Metrics          *wharfmetrics.Metrics
 	// ReportCrash records that an endpoint crashed under a request that had no event yet. It returns the number of crashes
-	// that speak against the request.
+	// counted against the request.
 	ReportCrash func(request wharfcrash.Request, endpoint wharffleet.Endpoint) int
 	// ReportAnswer records that an endpoint has begun to answer a request.
 	ReportAnswer func(request wharfcrash.Request)
