Hosts that start while the store is down count the hosts that they hear of

Cause: 24 hosts were killed at once and started while the store was cut off from all. Until a host has read the rows of all hosts, or for five seconds, it assumed a fleet of 16, whatever it had heard from peers. 24 shares of a sixteenth and 16 of a fortieth are 1.9 times the rate; the logs of the run have 38 to 40 admitted requests a second at a rate of 20, and "holders" 16 in the lines of rejected requests of the restarted hosts, 40 five seconds later. Ruled out: a token for each restart (24 at most, within the tolerance), allocators that use shares twice (the hosts without a count admit their own requests).

Change: the assumed number of hosts grows to the number that the host has heard of.

TestHostsRestartedWhileTheStoreIsDownStayWithinLimit, before: 208 (40 hosts), 202 (41 in two zones), 607 (195 in six zones) requests within 5 s, 152 allowed. After: passes.

--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// initialHostCount is the number of hosts assumed until the actual number is known, so that a newly started host
-	// does not refill whole buckets.
+	// initialHostCount is the least number of hosts assumed until the actual number is known, so that a newly started
+	// host does not refill whole buckets.
 	initialHostCount = 16
 	// restartTokens is what a restarted host has in each share: enough for one request, which with ten hosts stays
 	// within a tenth of typical bursts.
@@ -85,6 +85,7 @@
 	mu            sync.Mutex
 	buckets       map[string]*bucket
 	hostCount     int
+	hostsCounted  bool // SetHostCount has been told a number; until then hostCount follows the known peers
 	shares        Shares
 	organisations []wharfroute.Organisation
 	codec         *levelCodec
@@ -125,7 +126,11 @@
 func (l *Limiter) SetHostCount(hosts int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if hosts > 0 && hosts != l.hostCount {
+	if hosts == 0 {
+		return
+	}
+	l.hostsCounted = true
+	if hosts != l.hostCount {
 		l.hostCount = hosts
 		l.resizeBuckets()
 	}
@@ -385,17 +390,32 @@
 	return ctx.Err()
 }
 
-// updateShares follows the number of shares that this host may use.
+// updateShares follows the number of shares that this host may use and, until the number of hosts has been counted, the
+// number of hosts that it has heard of.
 func (l *Limiter) updateShares() {
-	shares := l.options.Shares()
+	shares, hosts := l.options.Shares(), l.knownHosts()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if shares != l.shares {
-		l.shares = shares
+	if l.hostsCounted {
+		hosts = l.hostCount
+	}
+	if shares != l.shares || hosts != l.hostCount {
+		l.shares, l.hostCount = shares, hosts
 		l.resizeBuckets()
 	}
 }
 
+// knownHosts returns the number of hosts: as counted or, before that, at least those that this host has heard of.
+func (l *Limiter) knownHosts() int {
+	l.mu.Lock()
+	hosts, counted := l.hostCount, l.hostsCounted
+	l.mu.Unlock()
+	if counted {
+		return hosts
+	}
+	return max(hosts, 1+len(l.options.Peers()))
+}
+
 // updateDemand updates the smoothed demand of each organisation. It returns the organisations whose share does not
 // cover the demand of the prefetch window, with the tokens to pull.
 func (l *Limiter) updateDemand() map[string]float64 {
--- a/wharf/coordination/wharflimiter/limiter_test.go
+++ b/wharf/coordination/wharflimiter/limiter_test.go
@@ -24,6 +24,7 @@
 	names     []string
 	partition []int // hosts of different partitions can't reach each other
 	down      []bool
+	storeDown bool // hosts that start are not told how many there are
 	levels    []wharfgossip.Levels
 	limits    []wharfroute.Organisation
 	admitted  []time.Time
@@ -81,7 +82,9 @@
 		RemoteAllocators: func() []wharfgossip.Peer { return f.remoteAllocators(i) },
 	})
 	f.limiters[i].Configure(f.limits)
-	f.limiters[i].SetHostCount(len(f.limiters))
+	if !f.storeDown {
+		f.limiters[i].SetHostCount(len(f.limiters))
+	}
 }
 
 func TestUnknownHostCountLimitsRefill(t *testing.T) {
@@ -242,6 +245,28 @@
 	})
 }
 
+// TestHostsRestartedWhileTheStoreIsDownStayWithinLimit guards against shares of a fleet smaller than the one that hosts hear
+// of.
+func TestHostsRestartedWhileTheStoreIsDownStayWithinLimit(t *testing.T) {
+	for hosts, zones := range map[int]int{40: 1, 41: 2, 195: 6} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetOf(hosts, zones, 20, 20)
+				f.storeDown = true
+				for i := range hosts * 6 / 10 {
+					f.down[i] = true
+				}
+				f.generateLoad(300, 3*time.Second)
+				for i := range hosts * 6 / 10 {
+					f.startHost(i, false)
+				}
+				f.generateLoad(300, 10*time.Second)
+				f.assertWithinLimit(t)
+			})
+		})
+	}
+}
+
 func TestRepeatedCrashesStayWithinLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(10, 60, 60)
