Hosts that no longer hear of load changes drop the loads that they have heard

What was seen: TestLargeFleetServesThroughItsAllocators failed once in 48 runs beside other tests: ten seconds after all requests had ended, a host still counted some as running.

Cause: in a large fleet hosts report loads to the allocators of an endpoint's zone. When a zone's allocators changed, the former ones heard of no further changes and kept the last loads for good; so did all hosts of a fleet that grew beyond the size in which each host reports to all. Such a host sees fewer free slots, by which it starts batch items. In the failed run the second allocator changed 3 to 17 ms after the first answer of the new cluster. Ruled out: loads lost by the network (the state is repeated to current allocators).

Change: hosts send peers that no longer receive their loads a state without any.

TestHostsThatNoLongerHearOfChangesAreTold checks who is told.

--- a/wharf/coordination/wharfgossip/fanout.go
+++ b/wharf/coordination/wharfgossip/fanout.go
@@ -79,6 +79,23 @@
 	return f
 }
 
+// loadReceivers returns the peers that receive this host's loads.
+func (f *fanout) loadReceivers() []Peer {
+	receivers := slices.Clone(f.direct)
+	for _, allocators := range f.remote {
+		receivers = append(receivers, allocators...)
+	}
+	return receivers
+}
+
+// formerReceivers returns the peers that received this host's loads before and hear of no further changes.
+func formerReceivers(before, now *fanout) []Peer {
+	current := now.loadReceivers()
+	return slices.DeleteFunc(before.loadReceivers(), func(p Peer) bool {
+		return slices.ContainsFunc(current, func(c Peer) bool { return c.Host == p.Host })
+	})
+}
+
 // isAllocator reports whether this host is an allocator of a large fleet.
 func (f *fanout) isAllocator() bool {
 	return !f.small && f.rank >= 0
@@ -187,6 +204,9 @@
 	previous := g.currentFanout.Load()
 	f = g.computeFanout()
 	g.currentFanout.Store(f)
+	if previous != nil {
+		g.sendNoLoads(formerReceivers(previous, f))
+	}
 	changed = previous == nil || !slices.Equal(previous.allocators, f.allocators)
 	if changed && !f.small {
 		klog.InfoS("allocators changed", "allocators", allocatorNames(f.allocators), "rank", f.rank, "peers", len(f.all))
--- a/wharf/coordination/wharfgossip/fanout_test.go
+++ b/wharf/coordination/wharfgossip/fanout_test.go
@@ -136,6 +136,22 @@
 	}
 }
 
+// TestHostsThatNoLongerHearOfChangesAreTold guards against loads that a host keeps for good once it allocates no slots.
+func TestHostsThatNoLongerHearOfChangesAreTold(t *testing.T) {
+	g := newZones(t, 2, 20)["h000"]
+	small := &fanout{small: true, all: g.Peers(), direct: g.Peers()}
+	before := g.computeFanout()
+	assert.Equal(t, len(formerReceivers(small, before)), 39-len(before.loadReceivers()), "the fleet has grown")
+	assert.Equal(t, len(formerReceivers(before, before)), 0)
+	var lost []string
+	for _, zone := range [][]Peer{before.direct, before.remote["z1"]} {
+		lost = append(lost, zone[0].Host)
+		p := g.peers[zone[0].Host]
+		p.Status.Capacity /= 2
+	}
+	assert.DeepEqual(t, hostNames(formerReceivers(before, g.computeFanout())), slices.Sorted(slices.Values(lost)))
+}
+
 func TestDigestsGoToAThirdHostOfEachZone(t *testing.T) {
 	g := newZones(t, 3, 10)["h000"]
 	f := g.computeFanout()
--- a/wharf/coordination/wharfgossip/send.go
+++ b/wharf/coordination/wharfgossip/send.go
@@ -160,6 +160,16 @@
 	g.send(&message, peers)
 }
 
+// sendNoLoads has peers drop the loads that they have heard from this host.
+func (g *Gossip) sendNoLoads(peers []Peer) {
+	if len(peers) == 0 {
+		return
+	}
+	message := g.options.Self
+	message.Status = g.options.Status()
+	g.send(&message, peers)
+}
+
 // sendLoadsElsewhere sends this host's loads on the endpoints of other zones to the allocators there, which may have
 // missed a change or taken over. A zone on which it has none any more hears so once.
 func (g *Gossip) sendLoadsElsewhere(f *fanout) {
