Test of a restarted host begins when both hosts know the verdict

Cause: the test killed the host that had counted the third crash 1 ms after it had blocked the part. The log has the report to the other host and the write to the store both cancelled by the kill, so that nobody else knew the verdict; the surviving host had counted two crashes. That is allowed: three more requests may follow the fifth crash, and the third crash after the restart blocks the part again.

The test asserted the verdict after the restart of a fact that only the killed host had. It now begins once both hosts have blocked the part; its checks and bounds are as before.

--- a/wagtailwharfd/wharfhost/crash_test.go
+++ b/wagtailwharfd/wharfhost/crash_test.go
@@ -85,10 +85,10 @@
 		e.SetFaults(wharfstandin.Faults{CrashPart: crashingPart})
 	}
 	sent := 0
-	c.await("the part is blocked", func() bool {
+	c.await("the part is blocked on both hosts", func() bool {
 		sent++
 		return c.sendCrashing(c.hosts[sent%2], sent).Status == http.StatusInternalServerError &&
-			len(c.hosts[0].crashes.Verdicts()) == 1
+			len(c.hosts[0].crashes.Verdicts()) == 1 && len(c.hosts[1].crashes.Verdicts()) == 1
 	})
 	before := len(c.crashingRuns())
 	restarted := c.hosts[0]
