Own interface: batch items under which endpoints were lost are run again

What callers saw: nothing yet; the users' report of another system asks whether it can happen here.

Cause: a broken connection under an item counted as one of its four attempts and as a crash under its content; the third ended the item with crashes_endpoints.

Change: a lost endpoint counts neither as an attempt nor as a crash under the item. The pause until the next attempt doubles from 0.5 s up to ten minutes, so that an item that does crash endpoints crashes few. What online requests have shown still holds for items: TestPoisonRequestCrashesAreBounded passes unchanged.

TestItemUnderWhichAnEndpointBrokeOffIsRunAgain (one endpoint that breaks off four times), before: the job ends with the item failed. After: the item completes.

--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -150,7 +150,7 @@
 		Storage:      d.store,
 		Member:       d.member,
 		Config:       d.rollout.Snapshot,
-		Executor:     wharfbatchexecutor.New(d.endpointClient, d.poison, d.reportCrash, d.metrics),
+		Executor:     wharfbatchexecutor.New(d.endpointClient, d.poison, d.metrics),
 		Peers:        d.peers,
 		Headroom:     d.headroom(),
 		IgnoreOnline: s.Policies.Batch != wharfsettings.BatchPreemptible,
--- a/wagtailwharfd/wharfdaemon/responses_test.go
+++ b/wagtailwharfd/wharfdaemon/responses_test.go
@@ -308,3 +308,19 @@
 	assert.Equal(t, r.code, "platform-unavailable")
 	assert.Equal(t, r.runState, "unknown")
 }
+
+// TestItemUnderWhichAnEndpointBrokeOffIsRunAgain guards against a sound item that is given up after a burst of crashes.
+func TestItemUnderWhichAnEndpointBrokeOffIsRunAgain(t *testing.T) {
+	s := oneHost
+	s.engines = 1
+	c := newCluster(t, s)
+	c.engines[0].SetFaults(wharfmodel.Faults{Disconnects: 4})
+	file := c.nodes[0].upload(keyOf("alpha"), fmt.Sprintf(
+		`{"custom_id":"x","method":"POST","url":"/v1/chat/completions","body":%s}`, chatBody("sound", 4, false),
+	), "")
+	job := c.nodes[0].submit(keyOf("alpha"), file.id(), "sound")
+	c.eventually(20*time.Second, func() bool {
+		b, _ := c.nodes[0].job(keyOf("alpha"), job.id())
+		return b.Status == "completed" && b.Counts.Completed == 1
+	})
+}
--- a/wharf/coordination/wharfbatch/chunk.go
+++ b/wharf/coordination/wharfbatch/chunk.go
@@ -37,7 +37,8 @@
 	chunk     *chunk
 	index     int
 	line      wharfjob.Line
-	attempts  int
+	attempts  int // that failed, without those whose endpoint was lost
+	losses    int // endpoints that were lost while they ran the item
 	preempted bool
 	progress  Progress
 	notBefore time.Time
@@ -102,13 +103,18 @@
 }
 
 // recordFailure records a failed attempt and reports whether it was the last one, in which case the item becomes an
-// error line. A preempted attempt is not counted and keeps its progress.
+// error line. A preempted attempt is not counted and keeps its progress; one whose endpoint was lost counts for the pause
+// until the next.
 func (it *item) recordFailure(err error, outcome Outcome) bool {
 	it.preempted = errors.Is(err, ErrPreempted)
 	if it.preempted {
 		it.progress = outcome.Progress
 		return false
 	}
+	if errors.Is(err, ErrEndpointLost) {
+		it.losses++
+		return false
+	}
 	it.attempts++
 	poison := errors.Is(err, ErrPoison)
 	if it.attempts < maxAttempts && !poison {
@@ -126,6 +132,15 @@
 	return true
 }
 
+// pause returns how long the item waits after a failed attempt. It doubles with each endpoint that was lost under the
+// item, so that an item which does crash endpoints crashes few.
+func (it *item) pause() time.Duration {
+	if it.preempted {
+		return 0
+	}
+	return min(retryDelay<<min(max(0, it.losses-1), maxDoublings), maxLossPause)
+}
+
 // encodePart encodes results as the content of an object and returns the part that describes it.
 func encodePart(results []itemResult, object string) (wharfjob.Part, []byte) {
 	var data bytes.Buffer
--- a/wharf/coordination/wharfbatch/executor.go
+++ b/wharf/coordination/wharfbatch/executor.go
@@ -14,7 +14,10 @@
 	ErrRetry = errors.New("item may be tried again")
 	// ErrPreempted is the cancellation cause of an item that was stopped for online requests; its progress is kept.
 	ErrPreempted = errors.New("item was preempted by online requests")
-	// ErrPoison is returned when the item crashes endpoints and must not be retried.
+	// ErrEndpointLost is returned when the endpoint broke the connection while it ran the item. That is not held against
+	// the item.
+	ErrEndpointLost = errors.New("endpoint was lost while it ran the item")
+	// ErrPoison is returned when online requests like the item have crashed endpoints, and it must not be run.
 	ErrPoison = errors.New("item crashes the endpoints that run it")
 )
 
@@ -41,7 +44,7 @@
 	Progress   Progress
 }
 
-// Executor runs items on endpoints. Its errors are ErrRetry, ErrPoison or those of ctx. If the cause of ctx's end is
+// Executor runs items on endpoints. Its errors are ErrRetry, ErrEndpointLost, ErrPoison or those of ctx. If the cause of ctx's end is
 // ErrPreempted, the outcome holds the progress so far.
 type Executor interface {
 	Execute(ctx context.Context, task Task) (Outcome, error)
--- a/wharf/coordination/wharfbatch/runner.go
+++ b/wharf/coordination/wharfbatch/runner.go
@@ -22,6 +22,10 @@
 	maxAttempts       = 4
 	maxClaimsPerRound = 2 // chunks that one round may claim
 	retryDelay        = 500 * time.Millisecond
+	// maxLossPause is the longest pause of an item after endpoints were lost under it, and maxDoublings is enough to raise
+	// retryDelay above it.
+	maxLossPause = 10 * time.Minute
+	maxDoublings = 11
 )
 
 // Options holds a runner's dependencies and settings.
@@ -246,10 +250,10 @@
 	if it.recordFailure(err, outcome) {
 		return true
 	}
-	it.notBefore = time.Now()
+	now := time.Now()
+	it.notBefore = now.Add(it.pause())
 	if !it.preempted {
-		it.notBefore = it.notBefore.Add(retryDelay)
-		e.pausedUntil = it.notBefore
+		e.pausedUntil = now.Add(retryDelay)
 	}
 	r.queueOf(it.chunk.open.Service).push(it)
 	return false
