Parts of prompts that crash endpoints after one event are blocked too

Cause: a crash counted only before the first event, and the first event cleared all counts of its request.

Change: an answer has begun with its second event or when it is whole; endpoints lost before count, and only that clears.

--- a/wagtailwharfd/wharfhost/crash_test.go
+++ b/wagtailwharfd/wharfhost/crash_test.go
@@ -44,10 +44,21 @@
 }
 
 func TestPromptPartThatCrashesEndpointsIsNotSentOn(t *testing.T) {
-	c := newCluster(t, 3, 6)
-	for _, e := range c.endpoints {
-		e.SetFaults(wharfstandin.Faults{CrashPart: crashingPart})
+	for events := range 2 {
+		t.Run(fmt.Sprint("after ", events, " events"), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 6)
+			for _, e := range c.endpoints {
+				e.SetFaults(wharfstandin.Faults{CrashPart: crashingPart, CrashAfter: events})
+			}
+			c.playCrashingAndSound()
+		})
 	}
+}
+
+// playCrashingAndSound sends requests with the crashing part and sound ones that share their key and first part, and checks
+// that the former stop reaching endpoints and the latter are served.
+func (c *cluster) playCrashingAndSound() {
 	ctx, cancel := context.WithTimeout(context.Background(), crashLearningTime+2500*time.Millisecond)
 	defer cancel()
 	var lateSound, lateServed atomic.Int64
@@ -75,8 +86,8 @@
 			late++
 		}
 	}
-	assert.Check(t, late <= maxLateCrashers, "%d requests reached endpoints too late, of %d", late, len(runs))
-	assert.Check(t, lateServed.Load()*10 >= lateSound.Load()*9, "%d of %d sound requests served", lateServed.Load(), lateSound.Load())
+	assert.Check(c.t, late <= maxLateCrashers, "%d requests reached endpoints too late, of %d", late, len(runs))
+	assert.Check(c.t, lateServed.Load()*10 >= lateSound.Load()*9, "%d of %d sound requests served", lateServed.Load(), lateSound.Load())
 }
 
 func TestRestartedHostKnowsTheRequestsThatCrashEndpoints(t *testing.T) {
--- a/wharf-load/wharfsoak/faults.go
+++ b/wharf-load/wharfsoak/faults.go
@@ -134,13 +134,13 @@
 		}
 	},
 	"endpoint-grey": func(ctx context.Context, s *system, e faultEvent) {
-		s.withEndpointFaults(ctx, e, wharfstandin.Faults{ErrorRate: greyFailureShare, RejectBody: rejectedBody, CrashPart: crashingPart})
+		s.withEndpointFaults(ctx, e, func(f *wharfstandin.Faults) { f.ErrorRate = greyFailureShare })
 	},
 	"endpoint-breaks": func(ctx context.Context, s *system, e faultEvent) {
-		s.withEndpointFaults(ctx, e, wharfstandin.Faults{BreakRate: greyFailureShare, RejectBody: rejectedBody, CrashPart: crashingPart})
+		s.withEndpointFaults(ctx, e, func(f *wharfstandin.Faults) { f.BreakRate = greyFailureShare })
 	},
 	"endpoint-full": func(ctx context.Context, s *system, e faultEvent) {
-		s.withEndpointFaults(ctx, e, wharfstandin.Faults{Full: true, RejectBody: rejectedBody, CrashPart: crashingPart})
+		s.withEndpointFaults(ctx, e, func(f *wharfstandin.Faults) { f.Full = true })
 	},
 	"endpoint-crash": func(ctx context.Context, s *system, e faultEvent) { s.crashEndpoint(ctx, e) },
 	"key-withdrawn": func(ctx context.Context, s *system, e faultEvent) {
@@ -289,13 +289,15 @@
 	ep.proxy.SetFaults(wharfproxy.Faults{})
 }
 
-// withEndpointFaults makes an endpoint itself misbehave for the duration of the event.
-func (s *system) withEndpointFaults(ctx context.Context, e faultEvent, faults wharfstandin.Faults) {
+// withEndpointFaults makes an endpoint itself misbehave for the duration of the event, beyond its usual faults.
+func (s *system) withEndpointFaults(ctx context.Context, e faultEvent, misbehave func(*wharfstandin.Faults)) {
 	ep := s.endpoints[e.endpoint]
 	defer ep.faults.begin()()
+	faults := s.usualFaults()
+	misbehave(&faults)
 	ep.current().SetFaults(faults)
 	wharfpause.For(ctx, e.duration)
-	ep.current().SetFaults(usualFaults)
+	ep.current().SetFaults(s.usualFaults())
 }
 
 // crashEndpoint stops an endpoint abruptly. Its row is removed after crashedRowDelay, and a new endpoint later starts
--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -44,8 +44,11 @@
 	rejectedBody = "impossible"
 )
 
-// usualFaults are what endpoints do to bad requests while they have no fault.
-var usualFaults = wharfstandin.Faults{RejectBody: rejectedBody, CrashPart: crashingPart}
+// usualFaults returns what endpoints do to bad requests while they have no fault. They crash before or after the first event,
+// depending on the seed.
+func (s *system) usualFaults() wharfstandin.Faults {
+	return wharfstandin.Faults{RejectBody: rejectedBody, CrashPart: crashingPart, CrashAfter: int(s.options.Seed % 2)}
+}
 
 // ErrNotReady is returned when the daemons do not become ready at the start of a run.
 var ErrNotReady = errors.New("daemons did not become ready")
@@ -155,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	instance.SetFaults(usualFaults)
+	instance.SetFaults(s.usualFaults())
 	e.proxy.SetTarget(netip.MustParseAddrPort(instance.Address))
 	e.instances = append(e.instances, instance)
 	e.down = false
@@ -280,7 +283,7 @@
 				s.findings.add("could not restart endpoint %d: %v", i, err)
 			}
 		}
-		e.current().SetFaults(usualFaults)
+		e.current().SetFaults(s.usualFaults())
 	}
 	for _, h := range s.hosts {
 		h.storeProxy.SetFaults(wharfproxy.Faults{})
--- a/wharf/state/wharfcrash/doc.go
+++ b/wharf/state/wharfcrash/doc.go
@@ -2,5 +2,5 @@
 // prompt that other requests share.
 //
 // An endpoint that crashes breaks the connections of all its requests, so each crash counts against all identities of the
-// requests that had no event yet. An answer that begins clears all identities of its request.
+// requests that they had not begun to answer. An answer that begins clears all identities of its request.
 package wharfcrash
--- a/wharf/state/wharfcrash/request.go
+++ b/wharf/state/wharfcrash/request.go
@@ -43,7 +43,7 @@
 	return append(list, r.Whole)
 }
 
-// Crash is the crash of an endpoint under a request that had no event yet.
+// Crash is the crash of an endpoint under a request that it had not begun to answer.
 type Crash struct {
 	Endpoint uint64 // hash of the endpoint's incarnation
 	Request  Request
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -36,6 +36,7 @@
 	identities       wharfcrash.Request
 	trial            bool            // the request has a blocked identity, and its first attempt is the trial of it
 	status           int             // of the response forwarded to the caller
+	attemptEvents    int             // events of the current attempt that have been forwarded
 	answered         bool            // an endpoint has begun to answer
 	avoid            map[string]bool // IDs of endpoints not to try again
 	sends            int             // attempts so far
@@ -175,6 +176,7 @@
 	o.placementLoad = endpointLoad{online: placement.Online, batch: placement.Batch, slots: placement.Endpoint.Slots}
 	first, gap := wharftimeout.IdleTimeouts(o.route, o.mayRetry(), o.remaining())
 	o.sends++
+	o.attemptEvents = 0
 	result := s.options.Forwarder.Do(ctx, &wharfforwarder.Exchange{
 		Call:              &o.call,
 		Attempt:           o.attempt(placement),
@@ -216,7 +218,6 @@
 
 // recordOutcome updates the state of the request and of the endpoint after an attempt.
 func (o *online) recordOutcome(placement *wharffleet.Placement, result wharfforwarder.Result) {
-	s := o.server
 	o.crashes = 0
 	o.started = o.started || result.Started
 	o.lastEvent = result.LastEvent
@@ -231,6 +232,7 @@
 	switch {
 	case outcome == 0:
 		placement.Succeed()
+		o.noteAnswer()
 		return
 	case outcome == wharfoutcome.CallerGone:
 		return
@@ -238,10 +240,8 @@
 		placement.Fail(outcome)
 	}
 	o.avoid[placement.Endpoint.ID] = true
-	// A request that crashes endpoints does so at its start, so a connection that is lost after the first event is
-	// not counted as a crash. Nor is one to a suspect endpoint, at which other requests had failed shortly before.
-	if outcome == wharfoutcome.ConnectionLost && o.events == 0 && !placement.Suspect {
-		o.crashes = s.options.ReportCrash(o.identities, placement.Endpoint)
+	if outcome == wharfoutcome.ConnectionLost {
+		o.noteCrash(placement, result.Events)
 	}
 }
 
@@ -331,7 +331,9 @@
 
 // WriteEvent forwards an event, and flushes unless another event follows immediately.
 func (o *online) WriteEvent(e wharfframes.Event, more bool) error {
-	defer o.noteAnswer()
+	if o.attemptEvents++; o.attemptEvents == begunEvents {
+		defer o.noteAnswer()
+	}
 	if _, err := o.writer.Write(e.Raw); err != nil {
 		return err
 	}
@@ -343,7 +345,6 @@
 
 // WriteBody forwards a part of a response body.
 func (o *online) WriteBody(data []byte) error {
-	defer o.noteAnswer()
 	_, err := o.writer.Write(data)
 	return err
 }
