An endpoint that names a limit of 0 still gets a request in ten seconds

What callers would see: an endpoint that had named a limit of 0 once stayed unused until it started again.

Cause: the limit is known only from answers, and at 0 no request was sent that could bring another one.

A case of TestAnnouncementsAreSharedByAllHosts, before: 0 requests placed after 11 s, after: 1.

--- a/wharf/state/wharffleet/announcement.go
+++ b/wharf/state/wharffleet/announcement.go
@@ -10,6 +10,9 @@
 	// limitBurst is how much of an endpoint's limit may be sent at once after a pause. Hosts that choose the same
 	// endpoint before they hear of each other exceed it; what they sent is made up for afterwards.
 	limitBurst = time.Second
+	// minLimit is the least rate, in requests per second, that an endpoint with a limit gets from all hosts. Only its
+	// responses tell that the limit has risen or ended.
+	minLimit = 0.1
 	// maxLimitDebt bounds what is made up for, so that a host that heard of many old requests at once does not leave an
 	// endpoint alone for long.
 	maxLimitDebt = 4 * time.Second
@@ -36,7 +39,7 @@
 // announcement is what an endpoint has said of itself in its responses, and what that depends on: the requests that all
 // hosts have sent it. A limit is a token bucket, from which each host takes the requests of all.
 type announcement struct {
-	rate      float64   // requests per second from all hosts, or wharfcall.NoLimit
+	rate      float64   // requests per second from all hosts, at least minLimit, or wharfcall.NoLimit
 	heardAt   time.Time // when a host received the newest response that named or omitted the limit; zero before the first limit
 	ownRate   float64   // limit in the newest response to this host
 	ownHeard  time.Time // of that response; zero before the first limit
@@ -115,6 +118,9 @@
 	}
 	a.refill(now)
 	a.rate = rate
+	if rate >= 0 {
+		a.rate = max(rate, minLimit)
+	}
 }
 
 // refill adds the tokens of the time since the last call.
--- a/wharf/state/wharffleet/announcement_test.go
+++ b/wharf/state/wharffleet/announcement_test.go
@@ -69,6 +69,11 @@
 	{"another host's older word does not", func(f *Fleet) {
 		f.ApplyChanges("a", []Load{{Endpoint: "e0", Limit: wharfcall.NoLimit, LimitAge: time.Minute}})
 	}, 2},
+	{"one to hear whether it still takes none", func(f *Fleet) {
+		f.ApplyChanges("a", []Load{{Endpoint: "e0", Limit: 0, LimitAge: time.Millisecond}})
+		place(f)
+		time.Sleep(11 * time.Second)
+	}, 1},
 	{"none while it leaves", func(f *Fleet) {
 		if p, err := f.Pick(Request{Service: "s"}); err == nil {
 			p.Hear(wharfcall.Response{RateLimit: 2, Leaving: true})
