Parts of prompts are blocked once all reports of the same crashes are in

What callers saw (own test): sound requests with the same first part as crashing ones were refused by one host of three for good, 78 of 119 served. TestPromptPartThatCrashesEndpointsIsNotSentOn failed once in 54 runs, beside four other processes.

Cause: the part was blocked by the report that made the third crash. If that of a sound request of the same endpoint came first, the first part was blocked, which both share; the crashes under a blocked part are not taken off it any more. A host that was told the verdict on the right part did not take its crashes off the others either.

Change: parts are blocked 0.2 s after their crashes suffice, and of several the one that the fewest requests have. A verdict takes the crashes off other parts wherever it comes from.

A case of TestBlockedIdentityIsTheOneThatExplainsTheCrashes (sound requests reported first) and TestVerdictsOfOtherHostsHold, before: fail.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -163,6 +163,18 @@
 	's/l\.tracker\.Block\(v, time\.Now\(\)\)//' ./wharf/coordination/wharfblocklist TestVerdictsReach
 mutant item-left-alone wharf/coordination/wharfjobrunner/start.go \
 	's/i\.finished \|\| now\.Before/i.finished || i.disconnects >= 6 || now.Before/' ./wharf/coordination/wharfjobrunner TestItemUnderWhichEndpointsCrashedIsRunAgain
+mutant broadest-part-blocked wharf/state/wharfcrash/tracker.go \
+	's/slices\.SortFunc\(guilty, t\.compareBreadth\)/slices.SortFunc(guilty, func(a, b Identity) int { return t.compareBreadth(b, a) })/' ./wharf/state/wharfcrash TestBlockedIdentity
+mutant blocked-before-all-reported wharf/state/wharfcrash/tracker.go \
+	's/now\.Sub\(s\.guiltyAt\) >= SettleTime/true/' ./wharf/state/wharfcrash TestTrials
+mutant first-event-clears wharf/transport/wharffrontend/evidence.go \
+	's/begunEvents = 2/begunEvents = 1/' $host TestPromptPart
+mutant fleet-of-sixteen-assumed wharf/coordination/wharflimiter/limiter.go \
+	's/return max\(hosts, 1\+len\(l\.options\.Peers\(\)\)\)/return hosts/' ./wharf/coordination/wharflimiter TestHostsRestartedWhileTheStoreIsDown
+mutant limit-of-zero-for-good wharf/state/wharffleet/announcement.go \
+	's/max\(rate, minLimit\)/rate/' $fleet TestAnnouncementsAreShared
+mutant lost-endpoint-ends-item wharf/coordination/wharfbatch/chunk.go \
+	's/if errors\.Is\(err, ErrEndpointLost\) \{/if false {/' $daemon TestItemUnderWhichAnEndpointBrokeOff
 mutant limit-ignored wharf/state/wharffleet/announcement.go \
 	's/return a\.tokens >= 1/return true/' $host TestEndpointsGetNoMoreThanTheLimitThatTheyName
 mutant limit-of-each-host wharf/state/wharffleet/announcement.go \
--- a/wagtailwharfd/wharfhost/crash.go
+++ b/wagtailwharfd/wharfhost/crash.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
 	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfrank"
 )
 
@@ -31,9 +32,54 @@
 	h.metrics.Count("crashes")
 	h.putInForce(verdicts, 0)
 	h.tellCrashes(wharfhostcalls.CrashReport{Crashes: []wharfcrash.Crash{crash}, Blocked: verdicts})
+	h.sawCrash.Store(true)
+	h.notifyCrash()
 	return crashes
 }
 
+// notifyCrash has settleCrashes look at the crashes that have been recorded.
+func (h *Host) notifyCrash() {
+	select {
+	case h.crashRecorded <- struct{}{}:
+	default:
+	}
+}
+
+// settleInterval is the time between two looks at crashes that may suffice for a verdict.
+const settleInterval = wharfcrash.SettleTime / 4
+
+// settleCrashes puts the verdicts on parts of prompts in force until ctx is done.
+func (h *Host) settleCrashes(ctx context.Context) error {
+	for {
+		select {
+		case <-h.crashRecorded:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		for pending := true; pending; {
+			if !wharfpause.For(ctx, settleInterval) {
+				return ctx.Err()
+			}
+			var verdicts []wharfcrash.Verdict
+			verdicts, pending = h.crashes.Settle(time.Now())
+			h.announce(verdicts)
+		}
+	}
+}
+
+// announce puts verdicts on parts in force. All hosts come to them by the same reports; those that saw a crash themselves tell
+// the others, which may have missed a report.
+func (h *Host) announce(verdicts []wharfcrash.Verdict) {
+	switch {
+	case len(verdicts) == 0:
+	case h.sawCrash.Swap(false):
+		h.putInForce(verdicts, 0)
+		h.tellCrashes(wharfhostcalls.CrashReport{Blocked: verdicts})
+	default:
+		h.putInForce(verdicts, publishDelay+rand.N(publishDelay))
+	}
+}
+
 // reportAnswer records that an endpoint has begun to answer a request, and tells all live peers if it was suspected.
 func (h *Host) reportAnswer(request wharfcrash.Request) {
 	cleared := h.crashes.Answered(request, time.Now())
@@ -52,6 +98,7 @@
 	for _, crash := range report.Crashes {
 		_, verdicts := h.crashes.Record(crash, now)
 		h.putInForce(verdicts, publishDelay+rand.N(publishDelay))
+		h.notifyCrash()
 	}
 	for _, verdict := range report.Blocked {
 		h.crashes.Block(verdict, now)
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -57,6 +57,8 @@
 	allocator      *wharfallocator.Allocator
 	crashes        *wharfcrash.Tracker
 	blocklist      *wharfblocklist.List
+	crashRecorded  chan struct{}
+	sawCrash       atomic.Bool // this host has recorded a crash itself since it last put a verdict in force
 	jobs           *wharfjobstore.Store
 	runner         *wharfjobrunner.Runner
 	frontend       *wharffrontend.Server
@@ -78,6 +80,7 @@
 		endpointPool:   wharfhttpconn.NewPool(),
 		gate:           wharfgate.New[*wharffleet.Placement](),
 		crashes:        wharfcrash.New(),
+		crashRecorded:  make(chan struct{}, 1),
 		metrics:        wharfmetrics.New(),
 		drainRequested: make(chan struct{}),
 	}
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -113,6 +113,7 @@
 		{Name: "relay", Run: h.relay.Serve},
 		{Name: "limiter", Run: h.limiter.Serve},
 		{Name: "blocklist", Run: h.blocklist.Serve},
+		{Name: "crashes", Run: h.settleCrashes},
 		{Name: "peers", Run: func(ctx context.Context) error { return h.peerPool.Serve(ctx, l.peers, server) }},
 		{Name: "readiness", Run: func(ctx context.Context) error {
 			return wharfservice.ServeHTTP(ctx, readiness, l.readiness)
--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -1,11 +1,16 @@
 package wharfcrash
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 )
 
+// SettleTime is the time from the crash that suffices to block a part until it is blocked. Other requests that the crashed
+// endpoints ran are reported in it, and may share a part that explains the crashes better.
+const SettleTime = 200 * time.Millisecond
+
 const (
 	// crashesToBlock is the number of crashed endpoints from which an identity is blocked.
 	crashesToBlock = 3
@@ -42,9 +47,11 @@
 	endpoints map[uint64]bool // that have crashed
 	requests  map[Identity]bool
 	crashes   int // at least len(endpoints); more if other hosts have seen more
+	depth     int // of a part in its prompt, from 1 on; 0 for a whole request
 	proven    bool
 	blocked   bool
 	at        time.Time // of the last crash or trial
+	guiltyAt  time.Time // when the crashes sufficed to block the identity; zero if they do not
 }
 
 // New returns an empty tracker.
@@ -61,8 +68,8 @@
 	return slices.DeleteFunc(slices.Clone(r.Parts), func(id Identity) bool { return t.proven[id].IsZero() })
 }
 
-// Record records a crash. It returns the largest number of crashes under one identity of the request, and the verdicts
-// that follow.
+// Record records a crash. It returns the largest number of crashes under one identity of the request, and the verdict on the
+// whole request if there is one. Verdicts on parts follow from Settle, SettleTime later.
 func (t *Tracker) Record(c Crash, now time.Time) (crashes int, verdicts []Verdict) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -70,23 +77,59 @@
 	if t.strikeBlockedPart(c, now) || !t.explained[c.Endpoint].IsZero() {
 		return 0, nil
 	}
-	for _, id := range c.Request.identities() {
+	for i, id := range c.Request.Parts {
 		s := t.suspect(id)
-		s.strike(c, now)
+		s.depth = max(s.depth, i+1)
 		s.proven = s.proven || slices.Contains(c.Proven, id) || !t.proven[id].IsZero()
+		s.strike(c, now)
 		crashes = max(crashes, s.crashes)
-		whole := id == c.Request.Whole
-		if s.blocked || !s.guilty(whole) {
-			continue
+	}
+	whole := t.suspect(c.Request.Whole)
+	whole.strike(c, now)
+	if !whole.blocked && whole.guilty() {
+		whole.blocked = true
+		verdicts = append(verdicts, whole.verdict(c.Request.Whole))
+	}
+	return max(crashes, whole.crashes), verdicts
+}
+
+// Settle blocks the parts that explain the crashes, if those have sufficed to block one of them for SettleTime, and returns
+// the verdicts. pending reports whether they have sufficed for less.
+func (t *Tracker) Settle(now time.Time) (verdicts []Verdict, pending bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var guilty []Identity
+	due := false
+	for id, s := range t.suspects {
+		if s.depth > 0 && !s.blocked && s.guilty() {
+			guilty = append(guilty, id)
+			due = due || now.Sub(s.guiltyAt) >= SettleTime
+		}
+	}
+	if !due {
+		return nil, len(guilty) > 0
+	}
+	slices.SortFunc(guilty, t.compareBreadth)
+	for _, id := range guilty {
+		s := t.suspects[id]
+		if s == nil || !s.guilty() {
+			continue // explained by the parts before it
 		}
 		s.blocked = true
 		verdicts = append(verdicts, s.verdict(id))
-		if !whole {
-			t.explain(id)
-			break
-		}
+		t.explain(id)
 	}
-	return crashes, verdicts
+	return verdicts, false
+}
+
+// compareBreadth orders parts from the most specific one on, which is in the fewest requests of crashed endpoints or, if they
+// are as many, later in the prompt.
+func (t *Tracker) compareBreadth(a, b Identity) int {
+	first, second := t.suspects[a], t.suspects[b]
+	return cmp.Or(
+		cmp.Compare(len(first.requests), len(second.requests)), cmp.Compare(second.depth, first.depth),
+		first.guiltyAt.Compare(second.guiltyAt), cmp.Compare(a, b),
+	)
 }
 
 // strikeBlockedPart adds a crash to the parts of its request that are blocked already, and reports whether there are any.
@@ -123,12 +166,15 @@
 	}
 	s.endpoints[c.Endpoint] = true
 	s.crashes = max(s.crashes+1, len(s.endpoints))
+	if s.guiltyAt.IsZero() && s.guilty() {
+		s.guiltyAt = now
+	}
 }
 
-// guilty reports whether the crashes suffice to block the identity, of a whole request or of a part.
-func (s *suspect) guilty(whole bool) bool {
+// guilty reports whether the crashes suffice to block the identity.
+func (s *suspect) guilty() bool {
 	switch {
-	case whole:
+	case s.depth == 0:
 		return s.crashes >= crashesToBlock
 	case s.proven:
 		return s.crashes >= provenCrashesToBlock && len(s.requests) >= minRequests
@@ -157,6 +203,9 @@
 				s.crashes--
 			}
 		}
+		if !s.guilty() {
+			s.guiltyAt = time.Time{}
+		}
 		if s.crashes <= 0 {
 			delete(t.suspects, id)
 		}
@@ -201,7 +250,11 @@
 		return
 	}
 	s := t.suspect(v.Identity)
+	newlyBlocked := !s.blocked
 	s.blocked = true
+	if newlyBlocked && s.depth > 0 {
+		t.explain(v.Identity)
+	}
 	s.crashes = max(s.crashes, v.Crashes)
 	if v.At.After(s.at) {
 		s.at = v.At
--- a/wharf/state/wharfcrash/tracker_test.go
+++ b/wharf/state/wharfcrash/tracker_test.go
@@ -42,6 +42,14 @@
 		[]Request{requestOf(4, "bad", "w")},
 		[]Request{requestOf(5, "other", "x"), requestOf(6, "y")},
 	},
+	{
+		"a part whose requests are reported after sound ones of the same endpoints",
+		[]step{
+			crash(1, 1, "first"), crash(1, 11, "first", "bad"), crash(2, 2, "first"), crash(2, 12, "first", "bad"),
+			crash(3, 3, "first"), crash(3, 13, "first", "bad"),
+		},
+		[]Request{requestOf(4, "first", "bad")}, []Request{requestOf(5, "first")},
+	},
 	{
 		"two crashes are not enough",
 		[]step{crash(1, 1, "first", "bad"), crash(2, 2, "first", "bad")},
@@ -118,7 +126,9 @@
 					continue
 				}
 				tracker.Record(Crash{Endpoint: s.endpoint, Request: s.request}, now)
+				now = now.Add(time.Millisecond)
 			}
+			tracker.Settle(now.Add(SettleTime))
 			for _, r := range test.blocked {
 				_, blocked := tracker.Blocked(r, now)
 				assert.Check(t, blocked)
@@ -140,6 +150,10 @@
 	for endpoint := range uint64(5) {
 		tracker.Record(Crash{Endpoint: endpoint, Request: requestOf(int(endpoint), "bad")}, start)
 	}
+	verdicts, pending := tracker.Settle(start.Add(SettleTime - 1))
+	assert.Assert(t, len(verdicts) == 0 && pending)
+	verdicts, pending = tracker.Settle(start.Add(SettleTime))
+	assert.Assert(t, len(verdicts) == 1 && !pending)
 	trials := 0
 	for now := start; now.Before(start.Add(10 * time.Minute)); now = now.Add(time.Second) {
 		if tracker.TakeTrial(bad.Parts[0], true, now) {
@@ -153,6 +167,7 @@
 	for endpoint := range uint64(3) {
 		wrong.Record(Crash{Endpoint: endpoint, Request: requestOf(int(endpoint), "bad")}, start)
 	}
+	wrong.Settle(start.Add(SettleTime))
 	assert.Assert(t, !wrong.TakeTrial(bad.Parts[0], true, start.Add(firstTrialDelay-time.Second)))
 	assert.Assert(t, !wrong.TakeTrial(bad.Parts[0], false, start.Add(firstTrialDelay)), "another host makes the trials")
 	assert.Assert(t, wrong.TakeTrial(bad.Parts[0], true, start.Add(firstTrialDelay)))
@@ -166,6 +181,13 @@
 func TestVerdictsOfOtherHostsHold(t *testing.T) {
 	tracker, now := New(), time.Now()
 	bad := requestOf(1, "bad")
+	for n := range 3 {
+		tracker.Record(Crash{Endpoint: uint64(n), Request: requestOf(n, "first", "other")}, now)
+	}
+	tracker.Block(Verdict{Identity: requestOf(0, "other").Parts[0], Crashes: 3, At: now}, now)
+	verdicts, _ := tracker.Settle(now.Add(SettleTime))
+	assert.Equal(t, len(verdicts), 0, "the other host's verdict explains the crashes")
+	tracker = New()
 	tracker.Block(Verdict{Identity: bad.Parts[0], Crashes: 4, At: now}, now)
 	verdict, blocked := tracker.Blocked(requestOf(2, "bad"), now)
 	assert.Assert(t, blocked && verdict.Crashes == 4)
