A host that is told a refuted verdict says so to the sender

The other hosts had answers with the wrongly blocked part after its last crash and ignored the verdict; the host that had made it kept it. Nobody would have tried the part there for eight minutes, as the host that makes trials did not know the verdict.

Change: reports of crashes name the sender, and a host answers a verdict that it has refuted with a clearance.

TestVerdictsOfOtherHostsHold asks that Block tells that a verdict is refuted. The path between hosts is played by TestPromptPartThatCrashesEndpointsIsNotSentOn and the soak; no test forces it.

--- a/wagtailwharfd/wharfhost/crash.go
+++ b/wagtailwharfd/wharfhost/crash.go
@@ -90,7 +90,7 @@
 	h.tellCrashes(wharfhostcalls.CrashReport{Cleared: cleared})
 }
 
-// takeCrashReport applies the report of another host.
+// takeCrashReport applies the report of another host, and tells it of verdicts that answers have refuted.
 func (h *Host) takeCrashReport(report wharfhostcalls.CrashReport) {
 	now := time.Now()
 	h.crashes.Clear(report.Cleared)
@@ -100,8 +100,14 @@
 		h.putInForce(verdicts, publishDelay+rand.N(publishDelay))
 		h.notifyCrash()
 	}
+	var refuted []wharfcrash.Identity
 	for _, verdict := range report.Blocked {
-		h.crashes.Block(verdict, now)
+		if h.crashes.Block(verdict, now) {
+			refuted = append(refuted, verdict.Identity)
+		}
+	}
+	if p, known := h.gossip.Peer(report.Host); known && len(refuted) > 0 {
+		go h.sendCrashReport(p, wharfhostcalls.CrashReport{Cleared: refuted})
 	}
 }
 
@@ -136,6 +142,7 @@
 func (h *Host) sendCrashReport(p wharfgossip.Peer, report wharfhostcalls.CrashReport) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
+	report.Host = h.settings.Host
 	if err := h.peerClient.Strike(ctx, p.Address, report); err != nil {
 		klog.InfoS("crash report to peer failed", "peer", p.Host, "error", err.Error())
 	}
--- a/wharf/protocol/wharfhostcalls/calls.go
+++ b/wharf/protocol/wharfhostcalls/calls.go
@@ -39,6 +39,7 @@
 
 // CrashReport tells what a host has learned about requests that crash endpoints.
 type CrashReport struct {
+	Host    string // the sender
 	Crashes []wharfcrash.Crash
 	Blocked []wharfcrash.Verdict
 	Cleared []wharfcrash.Identity // answers with them have begun
--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -242,12 +242,16 @@
 	}
 }
 
-// Block applies a verdict of another host, unless this host has seen an answer begin since the last crash.
-func (t *Tracker) Block(v Verdict, now time.Time) {
+// Block applies a verdict of another host, unless it is too old or this host has seen an answer begin since the last crash,
+// which refutes it.
+func (t *Tracker) Block(v Verdict, now time.Time) (refuted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if Expired(v, now) || t.proven[v.Identity].After(v.At) {
-		return
+	if Expired(v, now) {
+		return false
+	}
+	if t.proven[v.Identity].After(v.At) {
+		return true
 	}
 	s := t.suspect(v.Identity)
 	newlyBlocked := !s.blocked
@@ -259,6 +263,7 @@
 	if v.At.After(s.at) {
 		s.at = v.At
 	}
+	return false
 }
 
 // Expired reports whether a verdict is too old to hold.
--- a/wharf/state/wharfcrash/tracker_test.go
+++ b/wharf/state/wharfcrash/tracker_test.go
@@ -197,7 +197,7 @@
 	_, blocked = tracker.Blocked(bad, now)
 	assert.Assert(t, !blocked, "an old verdict does not hold")
 	tracker.Answered(bad, now)
-	tracker.Block(Verdict{Identity: bad.Parts[0], At: now.Add(-time.Second)}, now)
+	assert.Assert(t, tracker.Block(Verdict{Identity: bad.Parts[0], At: now.Add(-time.Second)}, now), "refuted")
 	_, blocked = tracker.Blocked(bad, now)
 	assert.Assert(t, !blocked, "an answer has begun since")
 }
