A change of a job that may have been made is not reported as refused

A host adopted a job and the reply was lost; another host ended the job; the first was told that it did not own the job, which its row says it does.

Cause: the row's transaction tells whether a lost change was made, but only until the next one. A retry that was refused then was reported as a definite no. Callers of the users do not see it: what may follow without the owner is the end of the job alone, and results that were listed stay listed.

Change: a refusal after a lost reply is ErrUnknown, which the callers in wharfjobrunner log and, for results, try again.

With the change the history allows what the mutant lost-reply-repeated does, so TestLostRepliesAreResolved adopts as well now, and refutes it.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -104,7 +104,7 @@
 mutant unknown-submission-refused wharf/coordination/wharfjobstore/store.go \
 	's/return s\.resolveUnknown\(ctx, sub\)/return wharfrecords.ErrUnavailable/' $book TestHistoriesOfOneJobAreLinearizable
 mutant lost-reply-repeated wharf/coordination/wharfjobstore/change.go \
-	's/if seen\.TransactionID == id/if false/' $book TestHistoriesOfOneJobAreLinearizable
+	's/if seen\.TransactionID == id/if false/' $book TestLostRepliesAreResolved
 mutant stop-repeated-cuts wagtailwharfd/main.go \
 	's/received == os\.Interrupt/received != nil/' ./wagtailwharfd TestOnlySecondInterruptAbortsDrain
 
--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -20,13 +20,17 @@
 )
 
 // update applies edit to a job's row and retries on conflicts, starting from the row's newer version. The row's
-// TransactionID tells whether a transaction with a lost reply was applied. It returns edit's error if edit refuses the
-// change.
+// TransactionID tells whether a transaction with a lost reply was applied, unless another one has followed. It returns
+// edit's error if edit refuses the change, or ErrUnknown if a lost transaction may have made it.
 func (s *Store) update(ctx context.Context, job Job, edit func(j *Job) ([]wharfrecords.Row, error)) (Job, error) {
 	id := uuid.NewString()
+	replyLost := false
 	for {
 		next := job
 		rows, err := edit(&next)
+		if err != nil && replyLost {
+			return job, wharfrecords.ErrUnknown
+		}
 		if err != nil {
 			return job, err
 		}
@@ -35,6 +39,7 @@
 		if err == nil {
 			return next, nil
 		}
+		replyLost = replyLost || errors.Is(err, wharfrecords.ErrUnknown)
 		if errors.Is(err, wharfrecords.ErrUnavailable) {
 			return job, err
 		}
--- a/wharf/coordination/wharfjobstore/store_test.go
+++ b/wharf/coordination/wharfjobstore/store_test.go
@@ -132,13 +132,18 @@
 			id := fmt.Sprint("job-", i)
 			job, err := a.Fetch(ctx, "org", id)
 			assert.NilError(t, err)
-			job, err = a.AppendResults(ctx, job, results(1, 0))
+			job, err = b.Adopt(ctx, job)
 			for errors.Is(err, wharfrecords.ErrUnavailable) {
-				job, err = a.AppendResults(ctx, job, results(1, 0))
+				job, err = b.Adopt(ctx, job)
+			}
+			assert.NilError(t, err)
+			job, err = b.AppendResults(ctx, job, results(1, 0))
+			for errors.Is(err, wharfrecords.ErrUnavailable) {
+				job, err = b.AppendResults(ctx, job, results(1, 0))
 			}
 			assert.NilError(t, err)
 			assert.DeepEqual(t, job.ResultOrder, []uint8{1, 0})
-			read, err := b.Results(ctx, job, 0, 1<<20)
+			read, err := a.Results(ctx, job, 0, 1<<20)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, read.Results, results(1, 0))
 			assert.NilError(t, b.End(ctx, "org", id))
