--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -163,6 +163,10 @@
 	's/l\.tracker\.Block\(v, time\.Now\(\)\)//' ./wharf/coordination/wharfblocklist TestVerdictsReach
 mutant item-left-alone wharf/coordination/wharfjobrunner/start.go \
 	's/i\.finished \|\| now\.Before/i.finished || i.disconnects >= 6 || now.Before/' ./wharf/coordination/wharfjobrunner TestItemUnderWhichEndpointsCrashedIsRunAgain
+mutant former-allocators-not-told wharf/coordination/wharfgossip/fanout.go \
+	's/g\.sendNoLoads\(formerReceivers\(previous, f\)\)/_ = formerReceivers(previous, f)/' ./wharf/coordination/wharfgossip TestFormerAllocatorHears
+mutant verdicts-of-others-explain-nothing wharf/state/wharfcrash/tracker.go \
+	's/if newlyBlocked && s\.depth > 0/if newlyBlocked \&\& false/' ./wharf/state/wharfcrash TestVerdictsOfOtherHostsHold
 mutant broadest-part-blocked wharf/state/wharfcrash/tracker.go \
 	's/slices\.SortFunc\(guilty, t\.compareBreadth\)/slices.SortFunc(guilty, func(a, b Identity) int { return t.compareBreadth(b, a) })/' ./wharf/state/wharfcrash TestBlockedIdentity
 mutant blocked-before-all-reported wharf/state/wharfcrash/tracker.go \
--- a/wagtailwharfd/wharfhost/crash.go
+++ b/wagtailwharfd/wharfhost/crash.go
@@ -33,12 +33,12 @@
 	h.putInForce(verdicts, 0)
 	h.tellCrashes(wharfhostcalls.CrashReport{Crashes: []wharfcrash.Crash{crash}, Blocked: verdicts})
 	h.sawCrash.Store(true)
-	h.notifyCrash()
+	h.wakeSettling()
 	return crashes
 }
 
-// notifyCrash has settleCrashes look at the crashes that have been recorded.
-func (h *Host) notifyCrash() {
+// wakeSettling makes settleCrashes look at the crashes that have been recorded.
+func (h *Host) wakeSettling() {
 	select {
 	case h.crashRecorded <- struct{}{}:
 	default:
@@ -62,14 +62,14 @@
 			}
 			var verdicts []wharfcrash.Verdict
 			verdicts, pending = h.crashes.Settle(time.Now())
-			h.announce(verdicts)
+			h.publishVerdicts(verdicts)
 		}
 	}
 }
 
-// announce puts verdicts on parts in force. All hosts come to them by the same reports; those that saw a crash themselves tell
-// the others, which may have missed a report.
-func (h *Host) announce(verdicts []wharfcrash.Verdict) {
+// publishVerdicts puts verdicts on parts in force. All hosts come to them by the same reports; those that saw a crash
+// themselves tell the others, which may have missed a report.
+func (h *Host) publishVerdicts(verdicts []wharfcrash.Verdict) {
 	switch {
 	case len(verdicts) == 0:
 	case h.sawCrash.Swap(false):
@@ -98,7 +98,7 @@
 	for _, crash := range report.Crashes {
 		_, verdicts := h.crashes.Record(crash, now)
 		h.putInForce(verdicts, publishDelay+rand.N(publishDelay))
-		h.notifyCrash()
+		h.wakeSettling()
 	}
 	var refuted []wharfcrash.Identity
 	for _, verdict := range report.Blocked {
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -57,8 +57,8 @@
 	allocator      *wharfallocator.Allocator
 	crashes        *wharfcrash.Tracker
 	blocklist      *wharfblocklist.List
-	crashRecorded  chan struct{}
-	sawCrash       atomic.Bool // this host has recorded a crash itself since it last put a verdict in force
+	crashRecorded  chan struct{} // wakes settleCrashes
+	sawCrash       atomic.Bool   // this host has recorded a crash itself since it last put a verdict in force
 	jobs           *wharfjobstore.Store
 	runner         *wharfjobrunner.Runner
 	frontend       *wharffrontend.Server
--- a/wharf/coordination/wharfbatch/chunk.go
+++ b/wharf/coordination/wharfbatch/chunk.go
@@ -133,7 +133,7 @@
 }
 
 // pause returns how long the item waits after a failed attempt. It doubles with each endpoint that was lost under the
-// item, so that an item which does crash endpoints crashes few.
+// item, so that an item that itself crashes endpoints crashes few.
 func (it *item) pause() time.Duration {
 	if it.preempted {
 		return 0
--- a/wharf/coordination/wharfbatch/executor.go
+++ b/wharf/coordination/wharfbatch/executor.go
@@ -44,8 +44,8 @@
 	Progress   Progress
 }
 
-// Executor runs items on endpoints. Its errors are ErrRetry, ErrEndpointLost, ErrPoison or those of ctx. If the cause of ctx's end is
-// ErrPreempted, the outcome holds the progress so far.
+// Executor runs items on endpoints. Its errors are ErrRetry, ErrEndpointLost, ErrPoison or those of ctx. If the cause of
+// ctx's end is ErrPreempted, the outcome holds the progress so far.
 type Executor interface {
 	Execute(ctx context.Context, task Task) (Outcome, error)
 }
--- a/wharf/coordination/wharfgossip/fanout_test.go
+++ b/wharf/coordination/wharfgossip/fanout_test.go
@@ -152,6 +152,24 @@
 	assert.DeepEqual(t, hostNames(formerReceivers(before, g.computeFanout())), slices.Sorted(slices.Values(lost)))
 }
 
+// TestFormerAllocatorHearsThatItHasNoLoads checks that a host which is no longer an allocator is sent a state without loads.
+func TestFormerAllocatorHearsThatItHasNoLoads(t *testing.T) {
+	near, _ := startLargeFleet(t)
+	others := slices.DeleteFunc(near, func(h *testHost) bool { return h.currentFanout.Load().rank >= 0 })
+	sender, former := others[0], others[1]
+	former.mu.Lock()
+	former.received = nil // the hosts did not agree at first
+	former.mu.Unlock()
+	p, _ := sender.Peer(former.options.Self.Host)
+	sender.currentFanout.Store(&fanout{direct: []Peer{p}})
+	sender.refreshFanout()
+	eventually(t, "the former allocator drops the sender's loads", func() bool {
+		return former.hasReceived(func(m *Message) bool {
+			return m.Host == sender.options.Self.Host && !m.Partial && len(m.Loads) == 0
+		})
+	})
+}
+
 func TestDigestsGoToAThirdHostOfEachZone(t *testing.T) {
 	g := newZones(t, 3, 10)["h000"]
 	f := g.computeFanout()
--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -250,6 +250,25 @@
 	})
 }
 
+// TestItemThatLosesEachEndpointIsStartedSeldom guards against an item that takes endpoints down as fast as they come back.
+func TestItemThatLosesEachEndpointIsStartedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHost(wharfmemorystore.New(), "a", 1, 2)
+		h.engine.respond = func(*Task, int) (Outcome, bool) {
+			return Outcome{Outcome: wharfoutcome.ConnectionLost, Err: errStopped}, true
+		}
+		submit(t, h, "job", 1)
+		time.Sleep(2 * time.Minute)
+		assert.DeepEqual(t, output(t, h, "job"), map[string]string{"job-0": ""})
+		starts := h.engine.starts
+		for i := 4; i < len(starts); i++ {
+			pause := starts[i].Sub(starts[i-1])
+			assert.Check(t, pause >= 3*time.Second, "start %d came after %v", i, pause)
+		}
+		h.kill()
+	})
+}
+
 // TestItemUnderWhichEndpointsCrashedIsRunAgain guards against an item that is never placed again after a burst of crashes.
 func TestItemUnderWhichEndpointsCrashedIsRunAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/wharf/state/wharfcrash/tracker.go
+++ b/wharf/state/wharfcrash/tracker.go
@@ -93,8 +93,8 @@
 	return max(crashes, whole.crashes), verdicts
 }
 
-// Settle blocks the parts that explain the crashes, if those have sufficed to block one of them for SettleTime, and returns
-// the verdicts. pending reports whether they have sufficed for less.
+// Settle blocks the parts that explain the crashes, once those have sufficed to block one of them for SettleTime, and returns
+// the verdicts. pending reports whether a part waits for that time to pass.
 func (t *Tracker) Settle(now time.Time) (verdicts []Verdict, pending bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/wharf/transport/wharfbatchexecutor/executor.go
+++ b/wharf/transport/wharfbatchexecutor/executor.go
@@ -34,8 +34,8 @@
 	metrics *wharfmetrics.Metrics
 }
 
-// New returns an executor. Items are refused by the crashes under online requests like them; crashes under items are not
-// recorded.
+// New returns an executor. It refuses items that are like online requests under which endpoints have crashed; it records no
+// crashes under items.
 func New(
 	client *wharfendpointclient.Client, crashes *wharfpoison.Tracker, metrics *wharfmetrics.Metrics,
 ) *Executor {
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -85,8 +85,8 @@
 	Crashes          *wharfcrash.Tracker
 	Jobs             *wharfjobstore.Store
 	Metrics          *wharfmetrics.Metrics
-	// ReportCrash records that an endpoint crashed under a request that it had not begun to answer. It returns the number of crashes
-	// counted against the request.
+	// ReportCrash records that an endpoint crashed under a request that it had not begun to answer. It returns the number of
+	// crashes counted against the request.
 	ReportCrash func(request wharfcrash.Request, endpoint wharffleet.Endpoint) int
 	// ReportAnswer records that an endpoint has begun to answer a request.
 	ReportAnswer func(request wharfcrash.Request)
