A call that times out neither cuts off other calls nor waits for a handshake

What was seen: after a soak of 40 hosts had recovered, hosts refused 40 of 1,274 requests, since both of their allocators had not answered within 150 ms. Reading what lies between a host and its allocator found two faults, each shown by a test that failed:

- A call that timed out closed the connection, and with it all other calls to that host: one that waited too long in a queue cost each request that was being admitted or placed there (TestTimedOutCallLeavesOtherCallsOnItsConnection: "use of closed network connection").
- The handshake with a host that is frozen took its 2 s whatever limit the call had, and calls to the same host waited for it in turn (TestCallsToFrozenPeerEndWithTheirContexts: five calls with a limit of 50 ms took 2.0 s).

Class: what one call does to others that share its connection. Now a connection is opened once for all calls that wait for it, each no longer than its context; a timed-out call has later calls use a new connection unless another call was answered meanwhile, and the old one closes after its last call or after 2 s.

--- a/wharf/transport/wharfrpc/pool.go
+++ b/wharf/transport/wharfrpc/pool.go
@@ -22,21 +22,24 @@
 const (
 	dialTimeout      = 500 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
-	helloPrefix      = "wharf-peer/1 "
-	helloReply       = "ok\n"
-	maxTokenBytes    = 512
+	// retirementTimeout is how long calls on a connection that has been replaced may still be answered.
+	retirementTimeout = 2 * time.Second
+	helloPrefix       = "wharf-peer/1 "
+	helloReply        = "ok\n"
+	maxTokenBytes     = 512
 )
 
 // ErrNoReply means that a peer did not answer in time, or that its connection broke.
 var ErrNoReply = errors.New("peer did not answer")
 
-// Pool holds one connection to each daemon that is called. A connection on which a call has timed out is replaced,
-// since it may be dead.
+// Pool holds one connection to each daemon that is called. A connection may be dead when a call on it has timed out and none
+// was answered meanwhile: later calls use a new one, while calls that wait on the old one may still be answered. It is safe
+// for concurrent use.
 type Pool struct {
 	token  string
 	from   netip.Addr
 	mu     sync.Mutex
-	conns  map[netip.AddrPort]*conn
+	peers  map[netip.AddrPort]*peer
 	closed bool
 	// TLS, if not nil, encrypts connections and requires certificates from both sides.
 	TLS *tls.Config
@@ -47,50 +50,39 @@
 	Calls atomic.Int64
 }
 
-type conn struct {
-	mu     sync.Mutex
-	client *rpc.Client
-}
-
 // NewPool returns a pool that authenticates with the deployment's token. If from is valid, connections are dialed from
 // that local address.
 func NewPool(token string, from netip.Addr) *Pool {
-	return &Pool{token: token, from: from, conns: map[netip.AddrPort]*conn{}}
+	return &Pool{token: token, from: from, peers: map[netip.AddrPort]*peer{}}
 }
 
-// Call calls a method of a peer. Errors are either returned by the method itself (rpc.ServerError) or wrap ErrNoReply.
+// Call calls a method of a peer, and returns when ctx is done at the latest. Errors are either returned by the method
+// itself (rpc.ServerError) or wrap ErrNoReply.
 func (p *Pool) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
 	p.Calls.Add(1)
-	c, err := p.conn(to)
+	other, err := p.peer(to)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	client, err := c.get(ctx, p, to)
+	s, err := other.beginCall(ctx, p)
 	if err != nil {
 		return trace.Wrap(fmt.Errorf("%w: %v", ErrNoReply, err))
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		return trace.Wrap(c.check(client, call.Error))
-	case <-ctx.Done():
-		c.drop(client)
-		return trace.Wrap(fmt.Errorf("%w: %v", ErrNoReply, ctx.Err()))
-	}
+	return trace.Wrap(s.finishCall(ctx, method, args, reply))
 }
 
-func (p *Pool) conn(to netip.AddrPort) (*conn, error) {
+func (p *Pool) peer(address netip.AddrPort) (*peer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrNoReply
 	}
-	c := p.conns[to]
-	if c == nil {
-		c = &conn{}
-		p.conns[to] = c
+	other := p.peers[address]
+	if other == nil {
+		other = &peer{address: address}
+		p.peers[address] = other
 	}
-	return c, nil
+	return other, nil
 }
 
 // Close closes all connections; later calls fail.
@@ -98,50 +90,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for _, c := range p.conns {
-		c.mu.Lock()
-		if c.client != nil {
-			_ = c.client.Close()
-		}
-		c.mu.Unlock()
-	}
-}
-
-// get returns the open connection, or dials the peer.
-func (c *conn) get(ctx context.Context, p *Pool, to netip.AddrPort) (*rpc.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.client != nil {
-		return c.client, nil
-	}
-	client, err := p.dial(ctx, to)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	c.client = client
-	return client, nil
-}
-
-// check maps the error of a call, and drops the connection unless the called method itself returned the error.
-func (c *conn) check(client *rpc.Client, err error) error {
-	if err == nil {
-		return nil
-	}
-	var serverErr rpc.ServerError
-	if errors.As(err, &serverErr) {
-		return serverErr
-	}
-	c.drop(client)
-	return fmt.Errorf("%w: %v", ErrNoReply, err)
-}
-
-func (c *conn) drop(client *rpc.Client) {
-	c.mu.Lock()
-	if c.client == client {
-		c.client = nil
+	for _, other := range p.peers {
+		other.close()
 	}
-	c.mu.Unlock()
-	_ = client.Close()
 }
 
 func (p *Pool) dial(ctx context.Context, to netip.AddrPort) (*rpc.Client, error) {
--- a/wharf/transport/wharfrpc/pool_test.go
+++ b/wharf/transport/wharfrpc/pool_test.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 )
 
 type echo struct {
@@ -74,6 +76,46 @@
 	assert.Equal(t, reply, "again")
 }
 
+func TestTimedOutCallLeavesOtherCallsOnItsConnection(t *testing.T) {
+	address, e := serveEcho(t, "token")
+	pool := NewPool("token", netip.Addr{})
+	t.Cleanup(pool.Close)
+	other := make(chan error, 1)
+	go func() {
+		var reply string
+		other <- pool.Call(context.Background(), address, "E.Say", "wait", &reply)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var reply string
+	assert.ErrorIs(t, pool.Call(ctx, address, "E.Say", "wait", &reply), ErrNoReply)
+	e.block <- struct{}{}
+	e.block <- struct{}{}
+	assert.NilError(t, <-other)
+}
+
+func TestCallsToFrozenPeerEndWithTheirContexts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts connections that nobody serves
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	pool := NewPool("token", netip.Addr{})
+	t.Cleanup(pool.Close)
+	const limit = 50 * time.Millisecond
+	var calls sync.WaitGroup
+	start := time.Now()
+	for range 5 {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			var reply string
+			assert.Check(t, is.ErrorIs(
+				pool.Call(ctx, netip.MustParseAddrPort(listener.Addr().String()), "E.Say", "hello", &reply), ErrNoReply))
+		})
+	}
+	calls.Wait()
+	assert.Assert(t, time.Since(start) < handshakeTimeout/2, "took %v", time.Since(start))
+}
+
 func TestWrongTokenIsRejected(t *testing.T) {
 	address, _ := serveEcho(t, "token")
 	pool := NewPool("another", netip.Addr{})
