A host whose allocators do not answer gets tokens from other zones

Cause: while both allocators of its zone are suspended, a host took the list of usable allocators, which is empty then, for that of a small fleet, and looked for tokens in levels that only hosts of small fleets tell each other. It had its own share of a few hundredths, empty at first.

Now the limiter is given all allocators and learns from the call that one does not answer, so it asks the other zones'. If these have no tokens either, the host does not know whether the organisation is over its rate, and no longer says so: 503 rate-unknown, with a delay.

The model's large fleets no longer tell levels, as daemons do not.

--- a/wagtailwharfd/wharfhost/allocation.go
+++ b/wagtailwharfd/wharfhost/allocation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -74,10 +75,16 @@
 // within a zone.
 const admitTimeout = 150 * time.Millisecond
 
+// errSuspended means that an allocator has not answered lately and is not asked.
+var errSuspended = errors.New("allocator did not answer lately")
+
 // admitAt has an allocator of the zone admit a request.
 func (h *Host) admitAt(
 	ctx context.Context, to wharfgossip.AllocatorHost, organisation string,
 ) (wharflimiter.Decision, error) {
+	if h.allocator.IsSuspended(to.Host) {
+		return wharflimiter.Decision{}, errSuspended
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), admitTimeout)
 	defer cancel()
 	decision, err := h.peerClient.Admit(ctx, to.Address, wharfhostcalls.AdmitRequest{Organisation: organisation})
--- a/wagtailwharfd/wharfhost/allocation_test.go
+++ b/wagtailwharfd/wharfhost/allocation_test.go
@@ -93,3 +93,33 @@
 	assert.Assert(t, time.Since(started) < allocationWarmUp, "%v", time.Since(started))
 	c.sendToAll(c.hosts, "after", 2)
 }
+
+// TestHostWhoseAllocatorsDoNotAnswerGetsTokensFromOtherZones guards against requests that are refused as over their
+// organisation's rate by a host that cannot know it.
+func TestHostWhoseAllocatorsDoNotAnswerGetsTokensFromOtherZones(t *testing.T) {
+	c := newLargeCluster(t, 4, 3)
+	c.configuration.Organisations[0].Rate, c.configuration.Organisations[0].Burst = 5, 160
+	c.applyConfiguration()
+	other := c.startIn("other zone", "host-4")
+	var h *runningHost
+	for _, candidate := range c.hosts[:4] {
+		if candidate.allocationCapacity() > 0 && candidate.admittedBy() != "" && candidate.reservedShares() == 0 {
+			h = candidate
+		}
+	}
+	c.await("all hosts know each other and the rate", func() bool {
+		for _, host := range c.hosts {
+			if organisations := host.table(); organisations == nil || organisations.Organisations[0].Rate != 5 {
+				return false
+			}
+		}
+		return len(h.gossip.FirstRemoteAllocators()) == 1 && len(other.gossip.Peers()) == 4 && other.limiter.Give("a", 0.1) > 0
+	})
+	for i := range 6 {
+		for _, a := range h.gossip.Allocators() {
+			h.allocator.Suspend(a.Host)
+		}
+		id := fmt.Sprint("request-", i)
+		c.assertComplete(c.send(h, keyA, "POST", "/resume/", id, "body"), id)
+	}
+}
--- a/wagtailwharfd/wharfhost/cluster_test.go
+++ b/wagtailwharfd/wharfhost/cluster_test.go
@@ -154,9 +154,15 @@
 
 // start starts a new host.
 func (c *cluster) start(name string) *runningHost {
+	c.t.Helper()
+	return c.startIn("zone", name)
+}
+
+// startIn starts a new host of an availability zone.
+func (c *cluster) startIn(zone, name string) *runningHost {
 	c.t.Helper()
 	settings := wharfhostsettings.Default()
-	settings.Host, settings.Zone = name, "zone"
+	settings.Host, settings.Zone = name, zone
 	settings.Callers, settings.Readiness = freePort(c.t), freePort(c.t)
 	settings.Peers, settings.Metrics = freePort(c.t), freePort(c.t)
 	settings.Store = netip.MustParseAddrPort(c.server.Listener.Addr().String())
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -118,7 +118,7 @@
 	})
 	h.limiter = wharflimiter.New(wharflimiter.Options{
 		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
-		Allocators:       func() []wharfgossip.AllocatorHost { return h.allocator.Usable() },
+		Allocators:       h.gossip.Allocators,
 		AdmitAt:          h.admitAt,
 		Shares:           h.rateShares,
 		RemoteAllocators: h.gossip.FirstRemoteAllocators,
--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -113,7 +113,7 @@
 // Usable returns the allocators of this zone that have not failed to answer lately, first choice first.
 func (a *Allocator) Usable() []wharfgossip.AllocatorHost {
 	return slices.DeleteFunc(slices.Clone(a.options.Allocators()), func(other wharfgossip.AllocatorHost) bool {
-		return !other.Self && a.isSuspended(other.Host)
+		return !other.Self && a.IsSuspended(other.Host)
 	})
 }
 
@@ -315,7 +315,7 @@
 		}
 		delete(free, zone)
 		for _, to := range a.options.Remote(zone) {
-			if a.isSuspended(to.Host) {
+			if a.IsSuspended(to.Host) {
 				continue
 			}
 			grant, err := a.call(ctx, to, reservation, forwardTimeout)
@@ -384,7 +384,8 @@
 	return placement, err
 }
 
-func (a *Allocator) isSuspended(host string) bool {
+// IsSuspended reports whether an allocator has not answered lately and is not asked.
+func (a *Allocator) IsSuspended(host string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return time.Now().Before(a.suspended[host])
--- a/wharf/coordination/wharfallocator/allocator_test.go
+++ b/wharf/coordination/wharfallocator/allocator_test.go
@@ -180,7 +180,7 @@
 				assert.Equal(t, z.hosts["h2"].counts["allocator-timeouts"], 1)
 				z.down["h0"] = nil
 				time.Sleep(suspension)
-				assert.Assert(t, !z.hosts["h2"].isSuspended("h0"))
+				assert.Assert(t, !z.hosts["h2"].IsSuspended("h0"))
 			})
 		})
 	}
@@ -201,7 +201,7 @@
 	z.hosts["h0"].ready = false
 	z.mustAcquire("h2", "near")
 	assert.Equal(t, z.hosts["h1"].counts["slots-allocated"], 1)
-	assert.Assert(t, !z.hosts["h2"].isSuspended("h0"))
+	assert.Assert(t, !z.hosts["h2"].IsSuspended("h0"))
 }
 
 // TestSlotOfACallerThatHasLeftIsGivenBack covers a caller that disconnects while its request waits at the allocator.
--- a/wharf/coordination/wharflimiter/large_test.go
+++ b/wharf/coordination/wharflimiter/large_test.go
@@ -40,11 +40,25 @@
 	return -1
 }
 
-func (f *fleet) admitAt(ctx context.Context, to wharfgossip.AllocatorHost, organisation string) (Decision, error) {
+func (f *fleet) admitAt(
+	ctx context.Context, from int, to wharfgossip.AllocatorHost, organisation string,
+) (Decision, error) {
 	f.calls++
+	if from == f.unanswered {
+		if !f.suspended(from) {
+			time.Sleep(pullTimeout)
+			f.suspendedUntil = time.Now().Add(time.Second)
+		}
+		return Decision{}, errPartitioned
+	}
 	return f.limiters[f.index(to.Host)].AdmitHere(ctx, organisation), nil
 }
 
+// suspended reports whether host i does not call the allocators of its zone.
+func (f *fleet) suspended(i int) bool {
+	return i == f.unanswered && time.Now().Before(f.suspendedUntil)
+}
+
 func (f *fleet) remoteAllocators(i int) []wharfgossip.Peer {
 	var peers []wharfgossip.Peer
 	for zone := range f.zones {
@@ -64,6 +78,9 @@
 		return Shares{Used: 1}
 	}
 	allocators := f.allocators(i, i%f.zones)
+	if f.suspended(i) {
+		return Shares{Used: 1}
+	}
 	if time.Since(f.reportedAt[i]) >= reportPeriod {
 		f.admittedBy[i], f.reportedAt[i] = f.index(allocators[0].Host), time.Now()
 	}
@@ -116,6 +133,29 @@
 	}
 }
 
+// TestHostWhoseAllocatorsDoNotAnswerServesWithinTheRate guards against rejecting what is within the rate as over it, while
+// the allocators of other zones have tokens.
+func TestHostWhoseAllocatorsDoNotAnswerServesWithinTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(60, 6, 30, 60)
+		f.unanswered = 20
+		for range 100 {
+			f.generateLoad(20, 100*time.Millisecond)
+			if d := f.limiters[f.unanswered].Admit(t.Context(), "org"); !d.Admitted {
+				f.rejected++
+			}
+		}
+		assert.Assert(t, f.rejected <= 2, "%d of 300 requests within the rate were rejected", f.rejected)
+		f.generateLoad(300, 10*time.Second)
+		f.assertWithinLimit(t)
+		d := f.limiters[f.unanswered].Admit(t.Context(), "org")
+		for d.Admitted {
+			d = f.limiters[f.unanswered].Admit(t.Context(), "org")
+		}
+		assert.Assert(t, d.Undecided, "it does not know that the organisation is over its rate")
+	})
+}
+
 // TestLostAllocatorsDoNotRaiseTheRate kills the allocators of half of the zones again and again, and starts them again,
 // while an organisation sends many times its rate.
 func TestLostAllocatorsDoNotRaiseTheRate(t *testing.T) {
--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -58,10 +58,10 @@
 	Peers func() []wharfgossip.Peer
 	// Pull requests tokens from a host and returns how many it granted.
 	Pull func(ctx context.Context, peer wharfgossip.Peer, organisation string, wanted float64) (float64, error)
-	// Allocators returns the hosts of this zone that admit requests for all its hosts, first choice first. A small fleet
-	// has none.
+	// Allocators returns the hosts of this zone that admit requests for all its hosts, first choice first, whether they
+	// answer or not. A small fleet has none.
 	Allocators func() []wharfgossip.AllocatorHost
-	// AdmitAt has an allocator admit a request.
+	// AdmitAt has an allocator admit a request. It returns an error if the allocator does not answer.
 	AdmitAt func(ctx context.Context, to wharfgossip.AllocatorHost, organisation string) (Decision, error)
 	// Shares returns what this host may use of each rate.
 	Shares func() Shares
@@ -180,6 +180,7 @@
 // Decision is the result of an admission.
 type Decision struct {
 	Admitted   bool
+	Undecided  bool          // not admitted, but the allocators that know the level did not answer
 	Pulled     float64       // tokens pulled from other hosts for the request
 	Level      float64       // tokens left in this host's share
 	HostCount  int           // hosts that share the bucket
@@ -187,20 +188,25 @@
 }
 
 // Admit takes one token of an organisation. In a large fleet, where each host has only a small part of a token, an
-// allocator of the zone takes it.
+// allocator of the zone takes it. If none answers, this host gets one from the allocators of other zones.
 func (l *Limiter) Admit(ctx context.Context, organisation string) Decision {
 	if !l.limits(organisation) {
 		return Decision{Admitted: true}
 	}
+	unanswered := false
 	for _, to := range l.options.Allocators() {
 		if to.Self {
 			break
 		}
-		if d, err := l.options.AdmitAt(ctx, to, organisation); err == nil {
+		d, err := l.options.AdmitAt(ctx, to, organisation)
+		if err == nil {
 			return d
 		}
+		unanswered = true
 	}
-	return l.AdmitHere(ctx, organisation)
+	d := l.AdmitHere(ctx, organisation)
+	d.Undecided = unanswered && !d.Admitted
+	return d
 }
 
 func (l *Limiter) limits(organisation string) bool {
--- a/wharf/coordination/wharflimiter/limiter_test.go
+++ b/wharf/coordination/wharflimiter/limiter_test.go
@@ -38,6 +38,9 @@
 	admittedBy []int // by host, as last reported
 	reportedAt []time.Time
 	calls      int // between hosts
+	// unanswered is the host whose calls to the allocators of its zone are not answered, or -1.
+	unanswered     int
+	suspendedUntil time.Time // until when that host does not call them
 }
 
 func newFleet(hosts int, rate, burst float64) *fleet {
@@ -45,7 +48,7 @@
 }
 
 func newFleetOf(hosts, zones int, rate, burst float64) *fleet {
-	f := &fleet{zones: zones, random: rand.New(rand.NewPCG(1, 1)), limits: []wharfroute.Organisation{{Name: "org", Rate: rate, Burst: burst}}}
+	f := &fleet{zones: zones, unanswered: -1, random: rand.New(rand.NewPCG(1, 1)), limits: []wharfroute.Organisation{{Name: "org", Rate: rate, Burst: burst}}}
 	f.limiters = make([]*Limiter, hosts)
 	f.partition = make([]int, hosts)
 	f.down = make([]bool, hosts)
@@ -76,8 +79,10 @@
 			}
 			return f.limiters[j].Give(organisation, wanted), nil
 		},
-		Allocators:       func() []wharfgossip.AllocatorHost { return f.allocators(i, i%f.zones) },
-		AdmitAt:          f.admitAt,
+		Allocators: func() []wharfgossip.AllocatorHost { return f.allocators(i, i%f.zones) },
+		AdmitAt: func(ctx context.Context, to wharfgossip.AllocatorHost, organisation string) (Decision, error) {
+			return f.admitAt(ctx, i, to, organisation)
+		},
 		Shares:           func() Shares { return f.shares(i) },
 		RemoteAllocators: func() []wharfgossip.Peer { return f.remoteAllocators(i) },
 	})
@@ -159,13 +164,15 @@
 	f.rejected++
 }
 
-// exchange has all hosts that are up tell their state.
+// exchange has all hosts that are up tell their state, which has no levels in a large fleet.
 func (f *fleet) exchange() {
 	for i, l := range f.limiters {
 		if f.down[i] {
 			continue
 		}
-		f.levels[i] = l.Levels()
+		if f.zones == 1 {
+			f.levels[i] = l.Levels()
+		}
 		l.updateShares()
 	}
 }
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -79,10 +79,13 @@
 	if d.Admitted {
 		return nil
 	}
-	klog.InfoS("request over rate", "request-id", q.call.ID, "organisation", q.organisation.Name, "level", d.Level,
-		"pulled", d.Pulled, "holders", d.HostCount, "rate", q.organisation.Rate,
-		"configuration-version", q.table.Version)
-	return errOverRate.WithExactRetryAfter(wharftimeout.CapRetryAfter(d.RetryAfter, q.remaining()))
+	event, refusal := "request over rate", errOverRate
+	if d.Undecided {
+		event, refusal = "rate not known to this host", errRateUnknown
+	}
+	klog.InfoS(event, "request-id", q.call.ID, "organisation", q.organisation.Name, "level", d.Level, "pulled", d.Pulled,
+		"holders", d.HostCount, "rate", q.organisation.Rate, "configuration-version", q.table.Version)
+	return refusal.WithExactRetryAfter(wharftimeout.CapRetryAfter(d.RetryAfter, q.remaining()))
 }
 
 // run tries endpoints until the request is answered or no further attempt is allowed.
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -45,6 +45,8 @@
 		"this key is not granted; ask your operator for one")
 	errOverRate = wharfrefusal.New(http.StatusTooManyRequests, "over-rate",
 		"the organisation is over its rate; come back later")
+	errRateUnknown = wharfrefusal.New(http.StatusServiceUnavailable, "rate-unknown",
+		"the hosts that know what the organisation has used of its rate do not answer; come back later")
 	errTooLarge = wharfrefusal.New(http.StatusRequestEntityTooLarge, "too-large",
 		"the request is larger than this deployment allows")
 	errHeaderTooLarge = wharfrefusal.New(http.StatusRequestHeaderFieldsTooLarge, "header-too-large",
