--- a/wharf-load/wharfseries/series.go
+++ b/wharf-load/wharfseries/series.go
@@ -134,9 +134,9 @@
 	if err != nil {
 		verdict = "FAILED"
 	}
-	r.print("seed %d %s after %v: %d requests, %d served, %d refused, %d jobs, %d faults", seed, verdict,
-		result.Duration.Round(time.Second), result.Requests, result.Served, result.Refused, result.Jobs,
-		len(result.Faults))
+	r.print("seed %d %s after %v: %d requests, %d served, %d refused, after recovery %s served, %d jobs, %d faults", seed, verdict,
+		result.Duration.Round(time.Second), result.Requests, result.Served, result.Refused, result.Recovered,
+		result.Jobs, len(result.Faults))
 	if cause := r.regressions[seed]; cause != "" {
 		r.print("  failed before: %s", cause)
 	}
--- a/wharf-load/wharfsoak/check.go
+++ b/wharf-load/wharfsoak/check.go
@@ -275,19 +275,28 @@
 	}
 }
 
+// servedShare is how many of a number of requests were served.
+type servedShare struct {
+	served, all int
+}
+
+// String returns "served of all".
+func (s servedShare) String() string {
+	return fmt.Sprintf("%d of %d", s.served, s.all)
+}
+
 // checkServedShare checks that requests sent after all hosts have recovered are served.
 func (t *traffic) checkServedShare(recoveredAt time.Time) {
-	served, all := 0, 0
 	for _, r := range t.requests {
 		if r.startedAt.Before(recoveredAt) || r.organisation != "lasting" {
 			continue
 		}
-		all++
+		t.recovered.all++
 		if r.response.Status == http.StatusOK && r.response.Err == nil {
-			served++
+			t.recovered.served++
 		}
 	}
-	if float64(served) < minServedShare*float64(all) {
-		t.system.findings.add("only %d of %d requests were served after all hosts had recovered", served, all)
+	if float64(t.recovered.served) < minServedShare*float64(t.recovered.all) {
+		t.system.findings.add("only %v requests were served after all hosts had recovered", t.recovered)
 	}
 }
--- a/wharf-load/wharfsoak/soak.go
+++ b/wharf-load/wharfsoak/soak.go
@@ -49,8 +49,10 @@
 	Served   int
 	Refused  int
 	Jobs     int
-	Faults   []string // in order of start time
-	Findings []string // violated guarantees
+	// Recovered is how many of the requests after the recovery of all hosts were served, such as "99 of 100".
+	Recovered string
+	Faults    []string // in order of start time
+	Findings  []string // violated guarantees
 }
 
 // Run executes the run of one seed. The error wraps ErrViolation if a guarantee was violated; the result is nil if the
@@ -89,7 +91,7 @@
 func (t *traffic) summarize(events []faultEvent, duration time.Duration) (*Result, error) {
 	r := &Result{
 		Seed: t.system.options.Seed, Duration: duration, Requests: len(t.requests), Jobs: len(t.jobs),
-		Findings: t.system.findings.list(),
+		Recovered: t.recovered.String(), Findings: t.system.findings.list(),
 	}
 	for _, request := range t.requests {
 		switch {
--- a/wharf-load/wharfsoak/traffic.go
+++ b/wharf-load/wharfsoak/traffic.go
@@ -29,7 +29,9 @@
 	rng      *rand.Rand
 	requests []*request
 	jobs     []*job
-	lastID   atomic.Int64
+	// recovered counts the requests that were sent after all hosts had recovered.
+	recovered servedShare
+	lastID    atomic.Int64
 }
 
 // request is a request and its response.
