Batch items of hosts that are out of reach hold their slots

Cause: every item counts as a slot that an online request can have. Class: an action of another host is taken for granted that can't be asked for. The same elsewhere: the choice of whose item is to stop when an endpoint has more than its slots also fell on such hosts, so that no item stopped; mended with it.

--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -70,6 +70,7 @@
 	own                Load      // load of this host
 	online             int       // running online requests of all hosts
 	batch              int       // running batch items of all hosts
+	unstoppable        int       // of batch, those of silent hosts
 	overcommittedSince time.Time // zero if its load fits its slots
 	localFaults        int       // consecutive faults of this host's requests
 	sharedFaults       int       // consecutive faults of all hosts other than timeouts, as far as reported
@@ -87,6 +88,12 @@
 	return e.Leaving || e.announcement.leaving
 }
 
+// onlineCapacity returns the number of slots that online requests can have beside those that run: free ones, and those of
+// batch items that can be stopped.
+func (e *entry) onlineCapacity() int {
+	return e.Slots - e.online - e.unstoppable
+}
+
 // add changes the number of batch items or of online requests.
 func (l *Load) add(batch bool, change int) {
 	if batch {
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -42,16 +42,17 @@
 	mu        sync.Mutex
 	entries   map[string]*entry
 	services  map[string]*service
-	peerLoads map[string]map[string]Load // by host and endpoint, including endpoints that are not registered yet
-	used      map[string]*entry          // registered endpoints with requests of this host
-	dirty     map[string]bool            // endpoints whose load from this host changed since the last call of Changes
+	peers     map[string]*peer
+	used      map[string]*entry // registered endpoints with requests of this host
+	dirty     map[string]bool   // endpoints whose load from this host changed since the last call of Changes
 	changed   func()
 	connected func(address netip.AddrPort) bool
 	random    func() float64 // uniform in [0, 1)
 	// announcements outlive the entries, whose registrations may lapse.
-	announcements map[incarnation]*announcement
-	position      float64 // of this host among the hosts of its zone, in [0, 1)
-	hosts         int     // number of hosts in the zone
+	announcements    map[incarnation]*announcement
+	lastSilenceCheck time.Time
+	position         float64 // of this host among the hosts of its zone, in [0, 1)
+	hosts            int     // number of hosts in the zone
 }
 
 // New returns an empty fleet for a host in a zone. changed is called, with the fleet's lock held, when this host's load
@@ -62,7 +63,7 @@
 		zone:          zone,
 		entries:       map[string]*entry{},
 		services:      map[string]*service{},
-		peerLoads:     map[string]map[string]Load{},
+		peers:         map[string]*peer{},
 		used:          map[string]*entry{},
 		dirty:         map[string]bool{},
 		changed:       changed,
@@ -115,10 +116,8 @@
 	added := &entry{
 		Endpoint: e, own: Load{Endpoint: e.ID}, hash: xxhash.Sum64String(e.ID), announcement: f.announcementOf(e),
 	}
-	for _, loads := range f.peerLoads {
-		added.online += loads[e.ID].Online
-		added.batch += loads[e.ID].Batch
-		added.stalled += loads[e.ID].Stalled
+	for _, p := range f.peers {
+		p.addTo(added, 1)
 	}
 	return added
 }
@@ -167,66 +166,6 @@
 	p.fleet.changed()
 }
 
-// ReplaceLoads replaces the loads of another host.
-func (f *Fleet) ReplaceLoads(host string, loads []Load) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.forget(host)
-	f.applyLoads(host, loads)
-}
-
-// ApplyChanges applies changed loads of another host, with their faults and successes, and returns the endpoints that
-// are ejected as a result.
-func (f *Fleet) ApplyChanges(host string, loads []Load) []Ejection {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.applyLoads(host, loads)
-	return f.applyOutcomes(loads)
-}
-
-func (f *Fleet) applyLoads(host string, loads []Load) {
-	known := f.peerLoads[host]
-	if known == nil {
-		known = make(map[string]Load, len(loads))
-		f.peerLoads[host] = known
-	}
-	for _, load := range loads {
-		before := known[load.Endpoint]
-		if e := f.entries[load.Endpoint]; e != nil {
-			load.Endpoint = e.ID // shares one copy of the ID between all hosts
-			load.Faults, load.Served = 0, 0
-			e.announcement.hear(host, load, time.Now())
-			load.LimitAge = 0
-			e.online += load.Online - before.Online
-			e.batch += load.Batch - before.Batch
-			e.stalled += load.Stalled - before.Stalled
-		}
-		if load.Online == 0 && load.Batch == 0 {
-			delete(known, load.Endpoint)
-			continue
-		}
-		known[load.Endpoint] = load
-	}
-}
-
-// Forget drops the loads of a host that has ended.
-func (f *Fleet) Forget(host string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.forget(host)
-}
-
-func (f *Fleet) forget(host string) {
-	for id, load := range f.peerLoads[host] {
-		if e := f.entries[id]; e != nil {
-			e.online -= load.Online
-			e.batch -= load.Batch
-			e.stalled -= load.Stalled
-		}
-	}
-	delete(f.peerLoads, host)
-}
-
 // addLoad changes this host's load on an endpoint. The caller holds the lock.
 func (f *Fleet) addLoad(e *entry, batch bool, change int) {
 	e.addLoad(batch, change)
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -29,6 +29,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.checkSilence(now)
 	best, full := f.choose(r, now)
 	if best == nil && r.LastAttempt {
 		r.LastAttempt = false // a probe of an ejected endpoint is better than no attempt
@@ -44,7 +45,7 @@
 		Endpoint: best.Endpoint, fleet: f, entry: best, batch: r.Batch, Online: best.online, Batch: best.batch,
 	}
 	p.Suspect = best.suspect(now)
-	p.NeedsPreemption = !r.Batch && best.batch > 0 && best.online+best.batch >= best.Slots
+	p.NeedsPreemption = !r.Batch && best.batch > best.unstoppable && best.online+best.batch >= best.Slots
 	if !best.ejectedUntil.IsZero() {
 		p.probe, best.probingSince = r.Requester == nil, now
 	}
@@ -67,7 +68,7 @@
 	hasFree        bool // some endpoint has a free slot, which is preferred to preempting a batch item
 	totalSlots     int  // of all available endpoints considered so far
 	freeSlots      int  // of totalSlots
-	nonOnlineSlots int  // of totalSlots, those without an online request
+	nonOnlineSlots int  // of totalSlots, those that an online request can have
 	anyAvailable   bool // some endpoint is available and not avoided
 	chosen         *entry
 }
@@ -103,7 +104,7 @@
 			continue
 		}
 		sel.freeSlots += max(0, e.Slots-e.online-e.batch)
-		sel.nonOnlineSlots += max(0, e.Slots-e.online)
+		sel.nonOnlineSlots += max(0, e.onlineCapacity())
 		if sel.avoids(e.ID) {
 			continue
 		}
@@ -154,7 +155,7 @@
 		if r.Batch || r.FreeOnly {
 			return 0, false
 		}
-		free = e.Slots - e.online
+		free = e.onlineCapacity()
 	}
 	if free <= 0 {
 		return 0, false
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -75,23 +75,14 @@
 	return p, true
 }
 
-// addPeerLoad counts a request of another host at an endpoint until that host reports its load itself.
-func (f *Fleet) addPeerLoad(host string, e *entry, batch bool) {
-	load := f.peerLoads[host][e.ID]
-	load.Endpoint = e.ID
-	load.add(batch, 1)
-	f.applyLoads(host, []Load{load})
-	e.announcement.grant(host, time.Now())
-}
-
 // ZoneLoads returns the load on each endpoint of this host's zone, without that of the excluded hosts, in a fixed order.
 func (f *Fleet) ZoneLoads(excluded func(host string) bool) []Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var skipped []map[string]Load
-	for host, loads := range f.peerLoads {
+	for host, p := range f.peers {
 		if excluded(host) {
-			skipped = append(skipped, loads)
+			skipped = append(skipped, p.loads)
 		}
 	}
 	loads := []Load{}
@@ -119,10 +110,11 @@
 		return free
 	}
 	now := time.Now()
+	f.checkSilence(now)
 	for _, e := range s.far {
-		slots := e.Slots - e.online
+		slots := e.onlineCapacity()
 		if !countBatch {
-			slots -= e.batch
+			slots = e.Slots - e.online - e.batch
 		}
 		if slots > 0 && !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
 			free[e.Zone] += slots
--- a/wharf/state/wharffleet/yield.go
+++ b/wharf/state/wharffleet/yield.go
@@ -8,28 +8,34 @@
 )
 
 // YieldingHost returns the host that should stop a batch item at an endpoint, preferring this host. It reports false if
-// no host runs a batch item there.
+// no host that can be asked runs a batch item there.
 func (f *Fleet) YieldingHost(id string) (host string, found bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[id]
-	if e == nil || e.batch == 0 {
+	if e == nil {
 		return "", false
 	}
 	if e.own.Batch > 0 {
 		return f.host, true
 	}
-	return f.batchHosts(e)[0], true
+	f.checkSilence(time.Now())
+	hosts := f.batchHosts(e)
+	if len(hosts) == 0 {
+		return "", false
+	}
+	return hosts[0], true
 }
 
-// batchHosts returns the hosts that run batch items at an endpoint, by descending number of items.
+// batchHosts returns the hosts that run batch items at an endpoint and can be asked to stop them, by descending number of
+// items.
 func (f *Fleet) batchHosts(e *entry) []string {
 	batch := map[string]int{}
 	if e.own.Batch > 0 {
 		batch[f.host] = e.own.Batch
 	}
-	for host, loads := range f.peerLoads {
-		if load := loads[e.ID]; load.Batch > 0 {
+	for host, p := range f.peers {
+		if load := p.loads[e.ID]; load.Batch > 0 && !p.silent {
 			batch[host] = load.Batch
 		}
 	}
@@ -45,6 +51,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.checkSilence(now)
 	var overcommitted []string
 	for id, e := range f.used {
 		excess := e.online + e.batch - e.Slots
