--- a/wagtailwharfd/wharfhost/allocation.go
+++ b/wagtailwharfd/wharfhost/allocation.go
@@ -87,9 +87,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), admitTimeout)
 	defer cancel()
+	start := time.Now()
 	decision, err := h.peerClient.Admit(ctx, to.Address, wharfhostcalls.AdmitRequest{Organisation: organisation})
+	h.allocator.NoteCall(to.Host, start, err == nil)
 	if err != nil {
-		h.allocator.Suspend(to.Host)
 		klog.InfoS("allocator did not admit or reject", "peer", to.Host, "organisation", organisation,
 			"error", err.Error())
 	}
--- a/wagtailwharfd/wharfhost/allocation_test.go
+++ b/wagtailwharfd/wharfhost/allocation_test.go
@@ -117,7 +117,7 @@
 	})
 	for i := range 6 {
 		for _, a := range h.gossip.Allocators() {
-			h.allocator.Suspend(a.Host)
+			h.allocator.NoteCall(a.Host, time.Now(), false)
 		}
 		id := fmt.Sprint("request-", i)
 		c.assertComplete(c.send(h, keyA, "POST", "/resume/", id, "body"), id)
--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -25,6 +25,8 @@
 	forwardTimeout = 30 * time.Millisecond
 	// suspension is how long an allocator that did not answer is not asked again.
 	suspension = time.Second
+	// answerMemory is how long an allocator's last answer is remembered: longer than any call takes.
+	answerMemory = time.Minute
 )
 
 // Reservation asks an allocator for a slot.
@@ -97,11 +99,12 @@
 	options   Options
 	mu        sync.Mutex
 	suspended map[string]time.Time // by host, until when it is not asked
+	answered  map[string]time.Time // by host, when it last answered a call
 }
 
 // New returns an Allocator.
 func New(options Options) *Allocator {
-	return &Allocator{options: options, suspended: map[string]time.Time{}}
+	return &Allocator{options: options, suspended: map[string]time.Time{}, answered: map[string]time.Time{}}
 }
 
 // Exact reports whether slots are granted by a host that knows all loads on them, so that hosts need not leave room for
@@ -117,11 +120,20 @@
 	})
 }
 
-// Suspend makes this host ask others for a while in place of an allocator that did not answer.
-func (a *Allocator) Suspend(host string) {
+// NoteCall records whether an allocator answered a call that was made at start. If not, others are asked for a while in its
+// place, unless it has answered another call since, which shows that it is only slow.
+func (a *Allocator) NoteCall(host string, start time.Time, answered bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	if answered {
+		a.answered[host] = now
+		return
+	}
+	if a.answered[host].After(start) {
+		return
+	}
+	maps.DeleteFunc(a.answered, func(_ string, at time.Time) bool { return now.Sub(at) > answerMemory })
 	maps.DeleteFunc(a.suspended, func(_ string, until time.Time) bool { return !now.Before(until) })
 	a.suspended[host] = now.Add(suspension)
 }
@@ -170,15 +182,16 @@
 }
 
 // call asks another host for a slot. The call goes on when ctx ends, since the connection is shared and a slot that is
-// granted must be given back. A host that does not answer is not asked for a while.
+// granted must be given back.
 func (a *Allocator) call(
 	ctx context.Context, to wharfgossip.AllocatorHost, r Reservation, limit time.Duration,
 ) (Grant, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
+	start := time.Now()
 	grant, err := a.options.Call(ctx, to, r)
+	a.NoteCall(to.Host, start, err == nil)
 	if err != nil {
-		a.Suspend(to.Host)
 		a.options.Count("allocator-timeouts")
 		klog.InfoS("allocator did not answer", "peer", to.Host, "service", r.Service, "error", err.Error())
 	}
--- a/wharf/coordination/wharfallocator/allocator_test.go
+++ b/wharf/coordination/wharfallocator/allocator_test.go
@@ -186,6 +186,26 @@
 	}
 }
 
+// TestAllocatorThatAnswersOtherCallsIsAskedOn guards against an allocator that is given up for a second, with all its knowledge
+// of the zone, because one answer is late.
+func TestAllocatorThatAnswersOtherCallsIsAskedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZoneFleet(t)
+		z.down["h0"] = context.DeadlineExceeded
+		late := make(chan error)
+		go func() {
+			_, err := z.acquire("h2", 0)
+			late <- err
+		}()
+		synctest.Wait()
+		z.down["h0"] = nil
+		time.Sleep(answerTimeout / 2)
+		z.mustAcquire("h2", "near")
+		assert.NilError(t, <-late, "the second allocator places the request")
+		assert.Assert(t, !z.hosts["h2"].IsSuspended("h0"))
+	})
+}
+
 // TestHostWithoutAllocatorPlacesByItself checks that a host that is cut off from its zone still serves.
 func TestHostWithoutAllocatorPlacesByItself(t *testing.T) {
 	z := newZoneFleet(t)
