--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -187,5 +187,17 @@
 	's/return e\.Leaving \|\| e\.announcement\.leaving/return e.Leaving/' $host TestEndpointThatSaysItIsLeavingGetsNoNewRequests
 mutant resend-called-not-run wharf/transport/wharfgateway/services.go \
 	's/WithRetryAfter\(time\.Second\)\.MayHaveRun\(\)/WithRetryAfter(time.Second)/' $daemon TestResendDuringAnOutageIsNotCalledNotRun
+mutant timed-out-call-closes wharf/transport/wharfrpc/session.go \
+	's/limit := retirementTimeout/limit := time.Duration(0)/' ./wharf/transport/wharfrpc TestTimedOutCallLeaves
+mutant call-waits-for-handshake wharf/transport/wharfrpc/peer.go \
+	's/case <-ctx\.Done\(\):\s+return nil, ctx\.Err\(\)//' ./wharf/transport/wharfrpc TestCallsToFrozenPeer
+mutant other-zones-not-asked wagtailwharfd/wharfhost/host.go \
+	's/Allocators:       h\.gossip\.Allocators/Allocators: h.allocator.Usable/' $host TestHostWhoseAllocators
+mutant late-answer-gives-up wharf/coordination/wharfallocator/allocator.go \
+	's/if a\.answered\[host\]\.After\(start\) \{/if false {/' ./wharf/coordination/wharfallocator TestAllocatorThatAnswers
+mutant items-of-silent-hosts-taken wharf/state/wharffleet/peer.go \
+	's/if p\.silent \{/if false {/' $fleet TestItemsOfSilentHosts
+mutant silent-host-is-to-stop wharf/state/wharffleet/yield.go \
+	's/load\.Batch > 0 && !p\.silent/load.Batch > 0/' $fleet TestOwnItemsYield
 
 exit $failed
