--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -199,5 +199,7 @@
 	's/if p\.silent \{/if false {/' $fleet TestItemsOfSilentHosts
 mutant silent-host-is-to-stop wharf/state/wharffleet/yield.go \
 	's/load\.Batch > 0 && !p\.silent/load.Batch > 0/' $fleet TestOwnItemsYield
+mutant refuted-verdict-not-returned wagtailwharfd/wharfhost/crash.go \
+	's/known && len\(refuted\) > 0/known \&\& len(refuted) < 0/' $host TestHostThatTellsARefutedVerdict
 
 exit $failed
--- a/wagtailwharfd/wharfhost/crash_test.go
+++ b/wagtailwharfd/wharfhost/crash_test.go
@@ -13,6 +13,8 @@
 	"gotest.tools/v3/assert"
 
 	"wagtailwharf.example/platform/wharfstandin"
+	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
+	"wagtailwharf.example/wharf/state/wharfcrash"
 )
 
 const (
@@ -116,3 +118,21 @@
 	}
 	assert.Equal(t, len(c.crashingRuns()), before)
 }
+
+// TestHostThatTellsARefutedVerdictDropsIt guards against a part that one host goes on refusing though another has had answers
+// with it since the crashes.
+func TestHostThatTellsARefutedVerdictDropsIt(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	sound := wharfcrash.NewRequest("a", "/resume/x", []byte("body"), []string{"aaaa"})
+	verdict := wharfcrash.Verdict{Identity: sound.Parts[0], Crashes: 3, At: time.Now()}
+	blocked := func(h *runningHost) bool {
+		_, found := h.crashes.Blocked(sound, time.Now())
+		return found
+	}
+	c.hosts[1].reportAnswer(sound)
+	c.hosts[0].takeCrashReport(wharfhostcalls.CrashReport{Host: "another", Blocked: []wharfcrash.Verdict{verdict}})
+	assert.Assert(t, blocked(c.hosts[0]))
+	c.hosts[0].tellCrashes(wharfhostcalls.CrashReport{Blocked: []wharfcrash.Verdict{verdict}})
+	c.await("the verdict is dropped", func() bool { return !blocked(c.hosts[0]) })
+	assert.Assert(t, !blocked(c.hosts[1]))
+}
