--- a/wharf-load/wharfseries/series.go
+++ b/wharf-load/wharfseries/series.go
@@ -1,16 +1,15 @@
 package wharfseries
 
 import (
+	"cmp"
 	"context"
 	_ "embed" // for regressions.toml
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,13 +41,26 @@
 	Regressions bool // first run the seeds of regressions.toml
 }
 
+// regression is a run that failed in the past. Numbers that are not set are those of the series.
+type regression struct {
+	Seed         uint64 `toml:"seed"`
+	Cause        string `toml:"cause"`
+	Hosts        int    `toml:"hosts"`
+	Endpoints    int    `toml:"endpoints"`
+	MaxMeshPeers int    `toml:"max-mesh-peers"`
+}
+
+// play is a run of a series; cause is why it failed in the past, "" if it has not.
+type play struct {
+	options wharfsoak.Options
+	cause   string
+}
+
 // runner is the state of a series.
 type runner struct {
-	options     Options
-	regressions map[uint64]string // causes of earlier failures by seed
-	out         io.Writer
-	mu          sync.Mutex
-	failed      []uint64
+	out    io.Writer
+	mu     sync.Mutex
+	failed []uint64
 }
 
 // Run runs all seeds and writes the outcome of each to out. The error wraps ErrFailed if any seed failed.
@@ -57,67 +69,76 @@
 	if err != nil {
 		return err
 	}
-	seeds := options.seeds(regressions)
-	r := &runner{options: options, regressions: regressions, out: out}
-	queue := make(chan uint64)
+	plays := options.plays(regressions)
+	r := &runner{out: out}
+	queue := make(chan play)
 	var workers sync.WaitGroup
 	for range max(1, options.Parallel) {
 		workers.Go(func() {
-			for seed := range queue {
-				r.runSeed(ctx, seed)
+			for p := range queue {
+				r.run(ctx, p)
 			}
 		})
 	}
-	for _, seed := range seeds {
-		queue <- seed
+	for _, p := range plays {
+		queue <- p
 	}
 	close(queue)
 	workers.Wait()
 	if len(r.failed) > 0 {
-		return fmt.Errorf("%w: %d of %d: %v (settings and logs in %s)", ErrFailed, len(r.failed), len(seeds), r.failed,
+		return fmt.Errorf("%w: %d of %d: %v (settings and logs in %s)", ErrFailed, len(r.failed), len(plays), r.failed,
 			options.Soak.WorkDir)
 	}
 	return nil
 }
 
-// loadRegressions returns the seeds of regressions.toml with the causes of their failures.
-func loadRegressions() (map[uint64]string, error) {
+// loadRegressions returns the runs of regressions.toml.
+func loadRegressions() ([]regression, error) {
 	var list struct {
-		Failed []struct {
-			Seed  uint64 `toml:"seed"`
-			Cause string `toml:"cause"`
-		} `toml:"failed"`
+		Failed []regression `toml:"failed"`
 	}
-	if _, err := toml.Decode(regressionsTOML, &list); err != nil {
+	metadata, err := toml.Decode(regressionsTOML, &list)
+	if err != nil {
 		return nil, err
 	}
-	causes := map[uint64]string{}
-	for _, f := range list.Failed {
-		causes[f.Seed] = f.Cause
+	if unknown := metadata.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("regressions.toml: unknown keys %v", unknown)
 	}
-	return causes, nil
+	return list.Failed, nil
 }
 
-// seeds returns the seeds to run, in order.
-func (o *Options) seeds(causes map[uint64]string) []uint64 {
-	var seeds []uint64
+// plays returns the runs of the series, in order.
+func (o *Options) plays(regressions []regression) []play {
+	var plays []play
 	if o.Regressions {
-		seeds = slices.Sorted(maps.Keys(causes))
+		for _, f := range regressions {
+			options := o.withSeed(f.Seed)
+			options.Hosts = cmp.Or(f.Hosts, options.Hosts)
+			options.Endpoints = cmp.Or(f.Endpoints, options.Endpoints)
+			options.MaxMeshPeers = cmp.Or(f.MaxMeshPeers, options.MaxMeshPeers)
+			plays = append(plays, play{options, f.Cause})
+		}
 	}
 	first := o.FirstSeed
 	if first == 0 {
 		first = rand.Uint64N(maxSeed)
 	}
 	for i := range o.Seeds {
-		seeds = append(seeds, first+uint64(i))
+		plays = append(plays, play{options: o.withSeed(first + uint64(i))})
 	}
-	return seeds
+	return plays
 }
 
-func (r *runner) runSeed(ctx context.Context, seed uint64) {
-	options := r.options.Soak
+// withSeed returns the options of the run of a seed.
+func (o *Options) withSeed(seed uint64) wharfsoak.Options {
+	options := o.Soak
 	options.Seed = seed
 	options.WorkDir = filepath.Join(options.WorkDir, strconv.FormatUint(seed, 10))
+	return options
+}
+
+func (r *runner) run(ctx context.Context, p play) {
+	options, seed := p.options, p.options.Seed
 	result, err := wharfsoak.Run(ctx, options)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,8 +158,8 @@
 	r.print("seed %d %s after %v: %d requests, %d served, %d refused, after recovery %s served, %d jobs, %d faults", seed, verdict,
 		result.Duration.Round(time.Second), result.Requests, result.Served, result.Refused, result.Recovered,
 		result.Jobs, len(result.Faults))
-	if cause := r.regressions[seed]; cause != "" {
-		r.print("  failed before: %s", cause)
+	if p.cause != "" {
+		r.print("  failed before: %s", p.cause)
 	}
 	if err == nil {
 		return
