After an outage of the store for all, hosts leave each other's jobs alone

Cause: when the store returned after 7 s, each of 195 hosts took the others' status, which is heard up to four seconds late, for present: all owners "can't reach the store".

Now this reason to adopt must hold for four seconds in which this host has the store itself. Hosts that do not have the store forget since when jobs were orphaned.

--- a/wharf/coordination/wharfjobrunner/adopt.go
+++ b/wharf/coordination/wharfjobrunner/adopt.go
@@ -19,6 +19,10 @@
 	// isolatedOwnerTimeout replaces ownerTimeout on a host that reaches fewer than half of the other hosts, because
 	// such a host is more likely to be partitioned itself.
 	isolatedOwnerTimeout = 7 * time.Second
+	// statusDelay is how long an owner must be said not to reach the store before other hosts adopt its jobs, while they
+	// reach it themselves: the time that word of its return takes to all hosts of a large fleet, two reports and a digest of
+	// other zones. After an outage for all hosts, none has to adopt.
+	statusDelay = 4 * time.Second
 	// adoptionStagger is how long each host in the adoption order waits for the host before it.
 	adoptionStagger = 700 * time.Millisecond
 )
@@ -26,12 +30,14 @@
 // adoptOrphans adopts the jobs whose owner can't run them. All hosts compute the same adoption order for a job, so that
 // normally one host adopts it.
 func (r *Runner) adoptOrphans(ctx context.Context) {
-	if r.options.Jobs.Unreachable() {
-		return
-	}
+	unreachable := r.options.Jobs.Unreachable()
 	peers, alive := r.livePeers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if unreachable {
+		clear(r.orphanedSince)
+		return
+	}
 	if r.closing {
 		return
 	}
@@ -50,7 +56,11 @@
 		}
 		seen[key] = since
 		rank := slices.Index(wharfrank.Order(key, alive), r.options.Host)
-		if now.Sub(since) < time.Duration(rank)*adoptionStagger {
+		delay := time.Duration(rank) * adoptionStagger
+		if reason == ownerWithoutStore {
+			delay += statusDelay
+		}
+		if now.Sub(since) < delay {
 			continue
 		}
 		seen[key] = now // restart the stagger for the next attempt
@@ -91,6 +101,9 @@
 	}
 }
 
+// ownerWithoutStore is the reason to adopt the jobs of an owner that lives and can't write their results.
+const ownerWithoutStore = "owner can't reach the store"
+
 // orphanReason returns why a job's owner can't run it, or "" if it can.
 func (r *Runner) orphanReason(
 	job *wharfjobstore.Job, peers map[string]wharfgossip.Peer, isolated bool, now time.Time,
@@ -118,7 +131,7 @@
 	case p.Presence == wharfgossip.Ended && !isolated:
 		return "owner ended"
 	case p.Presence == wharfgossip.Alive && p.Status.StoreUnreachable:
-		return "owner can't reach the store"
+		return ownerWithoutStore
 	case p.Presence != wharfgossip.Alive && now.Sub(p.LastHeard) > timeout && now.Sub(r.started) > timeout:
 		return "owner unreachable"
 	}
--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -326,6 +326,59 @@
 	})
 }
 
+// TestOutageOfTheStoreForAllHostsMovesNoJobs guards against hosts that, when the store returns, take each other's jobs for
+// orphaned, since what they have heard of the others is older than the return.
+func TestOutageOfTheStoreForAllHostsMovesNoJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := wharfmemorystore.New()
+		a, b, c := newTestHost(store, "a", 1, 2), newTestHost(store, "b", 1, 2), newTestHost(store, "c", 1, 2)
+		submit(t, a, "job", 40)
+		time.Sleep(500 * time.Millisecond)
+		store.SetFault(func(string) error { return wharfrecords.ErrUnavailable })
+		time.Sleep(7 * time.Second)
+		setStoreUnreachable(true, a, b, c)
+		store.SetFault(nil)
+		time.Sleep(2 * time.Second) // the digests of a large fleet take as long
+		setStoreUnreachable(false, a, b, c)
+		time.Sleep(6 * time.Second)
+		assertComplete(t, a, "job", 40)
+		assert.Equal(t, len(b.engine.runs)+len(c.engine.runs), 0)
+		for _, h := range []*testHost{a, b, c} {
+			h.kill()
+		}
+	})
+}
+
+// setStoreUnreachable makes each host hear from all others whether they can reach the store.
+func setStoreUnreachable(unreachable bool, hosts ...*testHost) {
+	names := []string{"a", "b", "c"}[:len(hosts)]
+	for i, h := range hosts {
+		h.peers = nil
+		for j, name := range names {
+			if i != j {
+				h.peers = append(h.peers, wharfgossip.Peer{
+					Host: name, Incarnation: 1, Presence: wharfgossip.Alive, LastHeard: time.Now(),
+					Status: wharfgossip.Status{StoreUnreachable: unreachable},
+				})
+			}
+		}
+	}
+}
+
+func TestJobsOfHostThatCanNotReachTheStoreAreAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := wharfmemorystore.New()
+		a, b := newTestHost(store, "a", 1, 2), newTestHost(store, "b", 1, 2)
+		submit(t, a, "job", 4)
+		time.Sleep(500 * time.Millisecond)
+		a.kill()
+		setStoreUnreachable(true, a, b)
+		time.Sleep(8 * time.Second)
+		assertComplete(t, b, "job", 4)
+		b.kill()
+	})
+}
+
 func TestIsolatedHostAdoptsNoJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := wharfmemorystore.New()
