--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -201,5 +201,9 @@
 	's/load\.Batch > 0 && !p\.silent/load.Batch > 0/' $fleet TestOwnItemsYield
 mutant refuted-verdict-not-returned wagtailwharfd/wharfhost/crash.go \
 	's/known && len\(refuted\) > 0/known \&\& len(refuted) < 0/' $host TestHostThatTellsARefutedVerdict
+mutant jobs-adopted-on-old-word wharf/coordination/wharfjobrunner/adopt.go \
+	's/delay \+= statusDelay/delay += 0/' ./wharf/coordination/wharfjobrunner TestOutageOfTheStoreForAll
+mutant owner-without-store-keeps-jobs wharf/coordination/wharfjobrunner/adopt.go \
+	's/return ownerWithoutStore/return ""/' ./wharf/coordination/wharfjobrunner TestJobsOfHostThatCanNotReach
 
 exit $failed
