--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,13 +89,14 @@
 	runner     *Runner
 	fleet      *wharffleet.Fleet
 	engine     *engine
-	peers      []wharfgossip.Peer
+	peers      atomic.Pointer[[]wharfgossip.Peer]
 	stop       context.CancelFunc
 	goroutines sync.WaitGroup
 }
 
 func newTestHost(store wharfrecords.Store, name string, incarnation uint64, endpoints int) *testHost {
 	h := &testHost{engine: &engine{runs: map[string]int{}}, fleet: wharffleet.New(name, "zone", func() {})}
+	h.hear()
 	var list []wharffleet.Endpoint
 	for i := range endpoints {
 		list = append(list, wharffleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Zone: "zone", Slots: 4,
@@ -109,7 +111,7 @@
 	h.runner = New(Options{
 		Host: name, Incarnation: incarnation, Jobs: h.jobs, Fleet: h.fleet, Executor: h.engine,
 		Table:     func() *wharfroute.Table { return table },
-		Peers:     func() []wharfgossip.Peer { return h.peers },
+		Peers:     func() []wharfgossip.Peer { return *h.peers.Load() },
 		Allocator: newLocalAllocator(h.fleet),
 		Retention: 2 * time.Minute,
 	})
@@ -128,6 +130,11 @@
 	})
 }
 
+// hear sets what the host knows of all others.
+func (h *testHost) hear(peers ...wharfgossip.Peer) {
+	h.peers.Store(&peers)
+}
+
 func (h *testHost) kill() {
 	h.stop()
 	h.goroutines.Wait()
@@ -316,8 +323,8 @@
 		alive := func(name string) wharfgossip.Peer {
 			return wharfgossip.Peer{Host: name, Incarnation: 1, Presence: wharfgossip.Alive, LastHeard: time.Now()}
 		}
-		b.peers = []wharfgossip.Peer{ended, alive("c")}
-		c.peers = []wharfgossip.Peer{ended, alive("b")}
+		b.hear(ended, alive("c"))
+		c.hear(ended, alive("b"))
 		time.Sleep(10 * time.Second)
 		assertComplete(t, b, "job", 4)
 		assert.Assert(t, len(b.engine.runs) == 0 || len(c.engine.runs) == 0, "exactly one host ran the items")
@@ -353,15 +360,16 @@
 func setStoreUnreachable(unreachable bool, hosts ...*testHost) {
 	names := []string{"a", "b", "c"}[:len(hosts)]
 	for i, h := range hosts {
-		h.peers = nil
+		var peers []wharfgossip.Peer
 		for j, name := range names {
 			if i != j {
-				h.peers = append(h.peers, wharfgossip.Peer{
+				peers = append(peers, wharfgossip.Peer{
 					Host: name, Incarnation: 1, Presence: wharfgossip.Alive, LastHeard: time.Now(),
 					Status: wharfgossip.Status{StoreUnreachable: unreachable},
 				})
 			}
 		}
+		h.hear(peers...)
 	}
 }
 
@@ -387,7 +395,7 @@
 		ended := func(name string) wharfgossip.Peer {
 			return wharfgossip.Peer{Host: name, Incarnation: 1, Presence: wharfgossip.Ended}
 		}
-		b.peers = []wharfgossip.Peer{ended("a"), ended("c"), ended("d")}
+		b.hear(ended("a"), ended("c"), ended("d"))
 		time.Sleep(6 * time.Second)
 		assertComplete(t, a, "job", 4)
 		assert.Equal(t, len(b.engine.runs), 0)
@@ -403,7 +411,8 @@
 		alive := func(name string) []wharfgossip.Peer {
 			return []wharfgossip.Peer{{Host: name, Incarnation: 1, Presence: wharfgossip.Alive, LastHeard: time.Now()}}
 		}
-		a.peers, b.peers = alive("b"), alive("a")
+		a.hear(alive("b")...)
+		b.hear(alive("a")...)
 		submit(t, a, "job", 6)
 		time.Sleep(3 * time.Second)
 		a.runner.Close(context.Background())
@@ -461,7 +470,8 @@
 		alive := func(name string) []wharfgossip.Peer {
 			return []wharfgossip.Peer{{Host: name, Incarnation: 1, Presence: wharfgossip.Alive, LastHeard: time.Now()}}
 		}
-		a.peers, b.peers = alive("b"), alive("a")
+		a.hear(alive("b")...)
+		b.hear(alive("a")...)
 		submit(t, a, "job", 120)
 		time.Sleep(110 * time.Second)
 		assertComplete(t, b, "job", 120)
