Jobs of a host that restarted in an outage are adopted in turn

What is heard of a host's access to the store now counts after four seconds of this host's own access, for the order as for the reason to adopt, which replaces the delay of the reason alone.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -202,8 +202,8 @@
 mutant refuted-verdict-not-returned wagtailwharfd/wharfhost/crash.go \
 	's/known && len\(refuted\) > 0/known \&\& len(refuted) < 0/' $host TestHostThatTellsARefutedVerdict
 mutant jobs-adopted-on-old-word wharf/coordination/wharfjobrunner/adopt.go \
-	's/delay \+= statusDelay/delay += 0/' ./wharf/coordination/wharfjobrunner TestOutageOfTheStoreForAll
+	's/now\.Sub\(since\) >= statusDelay/true/' ./wharf/coordination/wharfjobrunner 'TestOutageOfTheStoreForAll|TestJobsOfHostRestartedInAnOutage'
 mutant owner-without-store-keeps-jobs wharf/coordination/wharfjobrunner/adopt.go \
-	's/return ownerWithoutStore/return ""/' ./wharf/coordination/wharfjobrunner TestJobsOfHostThatCanNotReach
+	's/return "owner can.t reach the store"/return ""/' ./wharf/coordination/wharfjobrunner TestJobsOfHostThatCanNotReach
 
 exit $failed
--- a/wharf/coordination/wharfjobrunner/adopt.go
+++ b/wharf/coordination/wharfjobrunner/adopt.go
@@ -19,9 +19,9 @@
 	// isolatedOwnerTimeout replaces ownerTimeout on a host that reaches fewer than half of the other hosts, because
 	// such a host is more likely to be partitioned itself.
 	isolatedOwnerTimeout = 7 * time.Second
-	// statusDelay is how long an owner must be said not to reach the store before other hosts adopt its jobs, while they
-	// reach it themselves: the time that word of its return takes to all hosts of a large fleet, two reports and a digest of
-	// other zones. After an outage for all hosts, none has to adopt.
+	// statusDelay is how long another host must be said not to reach the store, while this host does, until that is taken for
+	// true: the time that word of its return takes to all hosts of a large fleet, two reports and a digest of other zones.
+	// After an outage for all hosts, none must adopt the jobs of another for that, or think that it is the only one that can.
 	statusDelay = 4 * time.Second
 	// adoptionStagger is how long each host in the adoption order waits for the host before it.
 	adoptionStagger = 700 * time.Millisecond
@@ -31,18 +31,19 @@
 // normally one host adopts it.
 func (r *Runner) adoptOrphans(ctx context.Context) {
 	unreachable := r.options.Jobs.Unreachable()
-	peers, alive := r.livePeers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if unreachable {
 		clear(r.orphanedSince)
+		clear(r.storelessSince)
 		return
 	}
 	if r.closing {
 		return
 	}
-	isolated := 2*(len(alive)-1) < len(peers)
 	now := time.Now()
+	peers, alive := r.livePeers(now)
+	isolated := 2*(len(alive)-1) < len(peers)
 	seen := map[string]time.Time{}
 	for _, job := range r.options.Jobs.OpenJobs() {
 		reason := r.orphanReason(&job, peers, isolated, now)
@@ -56,11 +57,7 @@
 		}
 		seen[key] = since
 		rank := slices.Index(wharfrank.Order(key, alive), r.options.Host)
-		delay := time.Duration(rank) * adoptionStagger
-		if reason == ownerWithoutStore {
-			delay += statusDelay
-		}
-		if now.Sub(since) < delay {
+		if now.Sub(since) < time.Duration(rank)*adoptionStagger {
 			continue
 		}
 		seen[key] = now // restart the stagger for the next attempt
@@ -69,22 +66,38 @@
 	r.orphanedSince = seen
 }
 
-// livePeers returns all other hosts by name, and the names of the hosts that can run jobs, including this one.
-func (r *Runner) livePeers() (peers map[string]wharfgossip.Peer, alive []string) {
+// livePeers returns all other hosts by name, and the names of the hosts that can run jobs, including this one. It clears
+// StoreUnreachable of hosts of which that was not heard for statusDelay. The caller holds r.mu.
+func (r *Runner) livePeers(now time.Time) (peers map[string]wharfgossip.Peer, alive []string) {
 	peers = map[string]wharfgossip.Peer{}
 	alive = []string{r.options.Host}
+	storeless := map[string]time.Time{}
 	for _, p := range r.options.Peers() {
+		if p.Status.StoreUnreachable {
+			since, known := r.storelessSince[p.Host]
+			if !known {
+				since = now
+			}
+			storeless[p.Host] = since
+			p.Status.StoreUnreachable = now.Sub(since) >= statusDelay
+		}
 		peers[p.Host] = p
 		if p.Presence == wharfgossip.Alive && !p.Status.Leaving && !p.Status.StoreUnreachable {
 			alive = append(alive, p.Host)
 		}
 	}
+	r.storelessSince = storeless
 	return peers, alive
 }
 
 // removeExpired removes jobs whose retention has ended; the host that ranks first for a job removes it.
 func (r *Runner) removeExpired(ctx context.Context) {
-	_, alive := r.livePeers()
+	if r.options.Jobs.Unreachable() {
+		return
+	}
+	r.mu.Lock()
+	_, alive := r.livePeers(time.Now())
+	r.mu.Unlock()
 	for _, job := range r.options.Jobs.Expired(r.options.Retention + retentionMargin) {
 		if wharfrank.First(job.Key(), alive) != r.options.Host {
 			continue
@@ -101,9 +114,6 @@
 	}
 }
 
-// ownerWithoutStore is the reason to adopt the jobs of an owner that lives and can't write their results.
-const ownerWithoutStore = "owner can't reach the store"
-
 // orphanReason returns why a job's owner can't run it, or "" if it can.
 func (r *Runner) orphanReason(
 	job *wharfjobstore.Job, peers map[string]wharfgossip.Peer, isolated bool, now time.Time,
@@ -131,7 +141,7 @@
 	case p.Presence == wharfgossip.Ended && !isolated:
 		return "owner ended"
 	case p.Presence == wharfgossip.Alive && p.Status.StoreUnreachable:
-		return ownerWithoutStore
+		return "owner can't reach the store"
 	case p.Presence != wharfgossip.Alive && now.Sub(p.LastHeard) > timeout && now.Sub(r.started) > timeout:
 		return "owner unreachable"
 	}
--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -356,6 +356,52 @@
 	})
 }
 
+// TestJobsOfHostRestartedInAnOutageAreAdoptedInTurn guards against hosts that all think that they come first, since they have
+// heard of no other one that it reaches the store, and that all write to it at the moment of its return.
+func TestJobsOfHostRestartedInAnOutageAreAdoptedInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := wharfmemorystore.New()
+		a, b, c := newTestHost(store, "a", 1, 2), newTestHost(store, "b", 1, 2), newTestHost(store, "c", 1, 2)
+		setStoreUnreachable(false, a, b, c)
+		const jobs = 10
+		for job := range jobs {
+			submit(t, c, fmt.Sprint("job-", job), 4)
+		}
+		time.Sleep(500 * time.Millisecond)
+		store.SetFault(func(string) error { return wharfrecords.ErrUnavailable })
+		c.kill()
+		time.Sleep(7 * time.Second)
+		setStoreUnreachable(true, a, b, c)
+		for _, h := range []*testHost{a, b} {
+			peers := *h.peers.Load()
+			peers[1].Incarnation = 2 // of c
+		}
+		var first time.Time
+		writes := 0
+		var mu sync.Mutex
+		store.SetFault(func(operation string) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if operation != "commit" {
+				return nil
+			}
+			if first.IsZero() {
+				first = time.Now()
+			}
+			if time.Since(first) < eventsPerItem*eventInterval {
+				writes++ // results follow later
+			}
+			return nil
+		})
+		time.Sleep(4 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		assert.Assert(t, writes >= jobs && writes <= jobs*5/4, "%d writes to adopt %d jobs", writes, jobs)
+		a.kill()
+		b.kill()
+	})
+}
+
 // setStoreUnreachable makes each host hear from all others whether they can reach the store.
 func setStoreUnreachable(unreachable bool, hosts ...*testHost) {
 	names := []string{"a", "b", "c"}[:len(hosts)]
