--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -333,92 +333,85 @@
 	})
 }
 
+// startOutage starts hosts a, b and c, submits jobs of 40 items to a and takes the store away for 7 s. When it is back, all hosts
+// have heard of the others that they can't reach it.
+func startOutage(t *testing.T, jobs int, during func(a *testHost)) (store *wharfmemorystore.Store, hosts []*testHost) {
+	store = wharfmemorystore.New()
+	for _, name := range []string{"a", "b", "c"} {
+		hosts = append(hosts, newTestHost(store, name, 1, 2))
+	}
+	hearAll(hosts, 1, wharfgossip.Status{})
+	for job := range jobs {
+		submit(t, hosts[0], fmt.Sprint("job-", job), 40)
+	}
+	time.Sleep(500 * time.Millisecond)
+	store.SetFault(func(string) error { return wharfrecords.ErrUnavailable })
+	during(hosts[0])
+	time.Sleep(7 * time.Second)
+	hearAll(hosts, 1, wharfgossip.Status{StoreUnreachable: true})
+	store.SetFault(nil)
+	return store, hosts
+}
+
+// hearAll makes each host hear the status of all others, and the incarnation of the first.
+func hearAll(hosts []*testHost, incarnation uint64, status wharfgossip.Status) {
+	for i, h := range hosts {
+		var peers []wharfgossip.Peer
+		for j, name := range []string{"a", "b", "c"}[:len(hosts)] {
+			if p := (wharfgossip.Peer{Host: name, Incarnation: 1, Presence: wharfgossip.Alive, LastHeard: time.Now(), Status: status}); i != j {
+				if j == 0 {
+					p.Incarnation = incarnation
+				}
+				peers = append(peers, p)
+			}
+		}
+		h.hear(peers...)
+	}
+}
+
 // TestOutageOfTheStoreForAllHostsMovesNoJobs guards against hosts that, when the store returns, take each other's jobs for
 // orphaned, since what they have heard of the others is older than the return.
 func TestOutageOfTheStoreForAllHostsMovesNoJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := wharfmemorystore.New()
-		a, b, c := newTestHost(store, "a", 1, 2), newTestHost(store, "b", 1, 2), newTestHost(store, "c", 1, 2)
-		submit(t, a, "job", 40)
-		time.Sleep(500 * time.Millisecond)
-		store.SetFault(func(string) error { return wharfrecords.ErrUnavailable })
-		time.Sleep(7 * time.Second)
-		setStoreUnreachable(true, a, b, c)
-		store.SetFault(nil)
+		_, hosts := startOutage(t, 1, func(*testHost) {})
 		time.Sleep(2 * time.Second) // the digests of a large fleet take as long
-		setStoreUnreachable(false, a, b, c)
+		hearAll(hosts, 1, wharfgossip.Status{})
 		time.Sleep(6 * time.Second)
-		assertComplete(t, a, "job", 40)
-		assert.Equal(t, len(b.engine.runs)+len(c.engine.runs), 0)
-		for _, h := range []*testHost{a, b, c} {
-			h.kill()
-		}
+		assertComplete(t, hosts[0], "job-0", 40)
+		assert.Equal(t, len(hosts[1].engine.runs)+len(hosts[2].engine.runs), 0)
+		killAll(hosts)
 	})
 }
 
+func killAll(hosts []*testHost) {
+	for _, h := range hosts {
+		h.kill()
+	}
+}
+
 // TestJobsOfHostRestartedInAnOutageAreAdoptedInTurn guards against hosts that all think that they come first, since they have
 // heard of no other one that it reaches the store, and that all write to it at the moment of its return.
 func TestJobsOfHostRestartedInAnOutageAreAdoptedInTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := wharfmemorystore.New()
-		a, b, c := newTestHost(store, "a", 1, 2), newTestHost(store, "b", 1, 2), newTestHost(store, "c", 1, 2)
-		setStoreUnreachable(false, a, b, c)
 		const jobs = 10
-		for job := range jobs {
-			submit(t, c, fmt.Sprint("job-", job), 4)
-		}
-		time.Sleep(500 * time.Millisecond)
-		store.SetFault(func(string) error { return wharfrecords.ErrUnavailable })
-		c.kill()
-		time.Sleep(7 * time.Second)
-		setStoreUnreachable(true, a, b, c)
-		for _, h := range []*testHost{a, b} {
-			peers := *h.peers.Load()
-			peers[1].Incarnation = 2 // of c
+		store, hosts := startOutage(t, jobs, (*testHost).kill)
+		hearAll(hosts, 2, wharfgossip.Status{StoreUnreachable: true})
+		var writes atomic.Int64
+		for _, h := range hosts[1:] {
+			h.engine.respond = func(*Task, int) (Outcome, bool) { time.Sleep(time.Minute); return Outcome{}, false }
 		}
-		var first time.Time
-		writes := 0
-		var mu sync.Mutex
 		store.SetFault(func(operation string) error {
-			mu.Lock()
-			defer mu.Unlock()
-			if operation != "commit" {
-				return nil
-			}
-			if first.IsZero() {
-				first = time.Now()
-			}
-			if time.Since(first) < eventsPerItem*eventInterval {
-				writes++ // results follow later
+			if operation == "commit" {
+				writes.Add(1)
 			}
 			return nil
 		})
 		time.Sleep(4 * time.Second)
-		mu.Lock()
-		defer mu.Unlock()
-		assert.Assert(t, writes >= jobs && writes <= jobs*5/4, "%d writes to adopt %d jobs", writes, jobs)
-		a.kill()
-		b.kill()
+		assert.Assert(t, writes.Load() >= jobs && writes.Load() <= jobs*5/4, "%d writes to adopt %d jobs", writes.Load(), jobs)
+		killAll(hosts[1:])
 	})
 }
 
-// setStoreUnreachable makes each host hear from all others whether they can reach the store.
-func setStoreUnreachable(unreachable bool, hosts ...*testHost) {
-	names := []string{"a", "b", "c"}[:len(hosts)]
-	for i, h := range hosts {
-		var peers []wharfgossip.Peer
-		for j, name := range names {
-			if i != j {
-				peers = append(peers, wharfgossip.Peer{
-					Host: name, Incarnation: 1, Presence: wharfgossip.Alive, LastHeard: time.Now(),
-					Status: wharfgossip.Status{StoreUnreachable: unreachable},
-				})
-			}
-		}
-		h.hear(peers...)
-	}
-}
-
 func TestJobsOfHostThatCanNotReachTheStoreAreAdopted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := wharfmemorystore.New()
@@ -426,7 +419,7 @@
 		submit(t, a, "job", 4)
 		time.Sleep(500 * time.Millisecond)
 		a.kill()
-		setStoreUnreachable(true, a, b)
+		hearAll([]*testHost{a, b}, 1, wharfgossip.Status{StoreUnreachable: true})
 		time.Sleep(8 * time.Second)
 		assertComplete(t, b, "job", 4)
 		b.kill()
--- a/wharf/coordination/wharflimiter/large_test.go
+++ b/wharf/coordination/wharflimiter/large_test.go
@@ -141,14 +141,12 @@
 		f.unanswered = 20
 		for range 100 {
 			f.generateLoad(20, 100*time.Millisecond)
-			if d := f.limiters[f.unanswered].Admit(t.Context(), "org"); !d.Admitted {
-				f.rejected++
-			}
+			f.send(f.unanswered)
 		}
 		assert.Assert(t, f.rejected <= 2, "%d of 300 requests within the rate were rejected", f.rejected)
 		f.generateLoad(300, 10*time.Second)
 		f.assertWithinLimit(t)
-		d := f.limiters[f.unanswered].Admit(t.Context(), "org")
+		d := Decision{Admitted: true}
 		for d.Admitted {
 			d = f.limiters[f.unanswered].Admit(t.Context(), "org")
 		}
--- a/wharf/state/wharffleet/yield_test.go
+++ b/wharf/state/wharffleet/yield_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"wagtailwharf.example/wharf/state/wharfpick"
 )
 
 // TestItemsOfSilentHostsHoldTheirSlots guards against online requests that are placed on the slots of batch items which their
@@ -15,32 +13,26 @@
 func TestItemsOfSilentHostsHoldTheirSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("near", "far")
-		f.ReplaceLoads("peer", []Load{{Endpoint: "e0", Batch: slots}, {Endpoint: "e1", Batch: slots - 1}})
-		assertPreempts := func(id string, elsewhere int) {
+		assertStoppable := func(want bool, elsewhere int) {
 			t.Helper()
 			p, err := f.Pick(Request{Service: "s", NearOnly: true})
-			assert.NilError(t, err)
-			assert.Assert(t, p.NeedsPreemption)
-			p.Release()
-			host, found := f.YieldingHost(id)
-			assert.Assert(t, found && host == "peer", "%s", host)
+			assert.Equal(t, err == nil && p.NeedsPreemption, want, "%v", err)
+			if err == nil {
+				p.Release()
+			}
+			host, _ := f.YieldingHost("e0")
+			assert.Equal(t, host == "peer", want)
 			assert.Equal(t, f.FreeSlotsElsewhere("s", true)["far"], elsewhere)
 		}
-		assertPreempts("e0", slots)
-
+		f.ReplaceLoads("peer", []Load{{Endpoint: "e0", Batch: slots}, {Endpoint: "e1", Batch: slots - 1}})
+		assertStoppable(true, slots)
 		time.Sleep(2 * time.Second)
-		_, err := f.Pick(Request{Service: "s", NearOnly: true})
-		assert.ErrorIs(t, err, wharfpick.ErrAllFull)
-		_, found := f.YieldingHost("e0")
-		assert.Assert(t, !found)
-		assert.Equal(t, f.FreeSlotsElsewhere("s", true)["far"], 1)
-		f.Update(append(endpoints("near", "far"), Endpoint{ID: "e2", Service: "s", Zone: "near", Slots: slots}))
-		f.ApplyChanges("other", []Load{{Endpoint: "e2", Online: slots}})
-		_, err = f.Pick(Request{Service: "s", NearOnly: true})
-		assert.ErrorIs(t, err, wharfpick.ErrAllFull)
-
+		assertStoppable(false, 1)
+		f.Update(nil)
+		f.Update(endpoints("near", "far"))
+		assertStoppable(false, 1)
 		f.ApplyChanges("peer", []Load{{Endpoint: "e1", Batch: 2}})
-		assertPreempts("e0", slots)
+		assertStoppable(true, slots)
 		f.ApplyChanges("peer", []Load{{Endpoint: "e0"}})
 		assert.Assert(t, !pick(t, f, false).NeedsPreemption)
 	})
--- a/wharf/transport/wharfrpc/pool_test.go
+++ b/wharf/transport/wharfrpc/pool_test.go
@@ -67,28 +67,27 @@
 	address, _ := serveEcho(t, "token")
 	pool := NewPool("token", netip.Addr{})
 	t.Cleanup(pool.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
+	assert.ErrorIs(t, say(pool, address, "wait", 50*time.Millisecond), ErrNoReply)
 	var reply string
-	err := pool.Call(ctx, address, "E.Say", "wait", &reply)
-	assert.Assert(t, errors.Is(err, ErrNoReply))
 	assert.NilError(t, pool.Call(context.Background(), address, "E.Say", "again", &reply))
 	assert.Equal(t, reply, "again")
 }
 
+// say calls a method that echoes text, with a limit on its time.
+func say(pool *Pool, to netip.AddrPort, text string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var reply string
+	return pool.Call(ctx, to, "E.Say", text, &reply)
+}
+
 func TestTimedOutCallLeavesOtherCallsOnItsConnection(t *testing.T) {
 	address, e := serveEcho(t, "token")
 	pool := NewPool("token", netip.Addr{})
 	t.Cleanup(pool.Close)
 	other := make(chan error, 1)
-	go func() {
-		var reply string
-		other <- pool.Call(context.Background(), address, "E.Say", "wait", &reply)
-	}()
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
-	var reply string
-	assert.ErrorIs(t, pool.Call(ctx, address, "E.Say", "wait", &reply), ErrNoReply)
+	go func() { other <- say(pool, address, "wait", time.Minute) }()
+	assert.ErrorIs(t, say(pool, address, "wait", 50*time.Millisecond), ErrNoReply)
 	e.block <- struct{}{}
 	e.block <- struct{}{}
 	assert.NilError(t, <-other)
@@ -100,16 +99,12 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	pool := NewPool("token", netip.Addr{})
 	t.Cleanup(pool.Close)
-	const limit = 50 * time.Millisecond
 	var calls sync.WaitGroup
 	start := time.Now()
 	for range 5 {
 		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), limit)
-			defer cancel()
-			var reply string
-			assert.Check(t, is.ErrorIs(
-				pool.Call(ctx, netip.MustParseAddrPort(listener.Addr().String()), "E.Say", "hello", &reply), ErrNoReply))
+			err := say(pool, netip.MustParseAddrPort(listener.Addr().String()), "hello", 50*time.Millisecond)
+			assert.Check(t, is.ErrorIs(err, ErrNoReply))
 		})
 	}
 	calls.Wait()
