--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -36,7 +36,9 @@
 	// hostMemoryMB is the memory limit, in MB, of the users' small hosts.
 	hostMemoryMB = 154
 	stopLimit    = 8 * time.Second
-	jobRetention = 2 * time.Minute
+	// jobRetention exceeds the longest run, in which 40 hosts are restarted one after the other, so that each accepted job
+	// must be known to the end.
+	jobRetention = 10 * time.Minute
 	startLimit   = 20 * time.Second
 	dirMode      = 0o700
 	fileMode     = 0o600
