--- a/wharf/coordination/wharfjobrunner/adopt.go
+++ b/wharf/coordination/wharfjobrunner/adopt.go
@@ -35,7 +35,7 @@
 	defer r.mu.Unlock()
 	if unreachable {
 		clear(r.orphanedSince)
-		clear(r.storelessSince)
+		clear(r.storeUnreachableSince)
 		return
 	}
 	if r.closing {
@@ -71,14 +71,14 @@
 func (r *Runner) livePeers(now time.Time) (peers map[string]wharfgossip.Peer, alive []string) {
 	peers = map[string]wharfgossip.Peer{}
 	alive = []string{r.options.Host}
-	storeless := map[string]time.Time{}
+	unreachableSince := map[string]time.Time{}
 	for _, p := range r.options.Peers() {
 		if p.Status.StoreUnreachable {
-			since, known := r.storelessSince[p.Host]
+			since, known := r.storeUnreachableSince[p.Host]
 			if !known {
 				since = now
 			}
-			storeless[p.Host] = since
+			unreachableSince[p.Host] = since
 			p.Status.StoreUnreachable = now.Sub(since) >= statusDelay
 		}
 		peers[p.Host] = p
@@ -86,7 +86,7 @@
 			alive = append(alive, p.Host)
 		}
 	}
-	r.storelessSince = storeless
+	r.storeUnreachableSince = unreachableSince
 	return peers, alive
 }
 
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -71,27 +71,27 @@
 	mu            sync.Mutex
 	jobs          map[string]*activeJob
 	orphanedSince map[string]time.Time // by job key, since when the owner can't run the job
-	// storelessSince is since when other hosts have been said, while this host reached the store, not to reach it.
-	storelessSince map[string]time.Time
-	closing        bool
-	started        time.Time
-	startBudget    map[string]float64   // by service, how many items may be started
-	refusedUntil   map[string]time.Time // by service, until when no slot is asked for
-	timePerToken   time.Duration        // smoothed run time per token of an item
-	goroutines     sync.WaitGroup
+	// storeUnreachableSince is since when other hosts have been said, while this host reached the store, not to reach it.
+	storeUnreachableSince map[string]time.Time
+	closing               bool
+	started               time.Time
+	startBudget           map[string]float64   // by service, how many items may be started
+	refusedUntil          map[string]time.Time // by service, until when no slot is asked for
+	timePerToken          time.Duration        // smoothed run time per token of an item
+	goroutines            sync.WaitGroup
 }
 
 // New returns a runner that owns no jobs yet.
 func New(options Options) *Runner {
 	return &Runner{
-		options:        options,
-		jobs:           map[string]*activeJob{},
-		orphanedSince:  map[string]time.Time{},
-		storelessSince: map[string]time.Time{},
-		startBudget:    map[string]float64{},
-		refusedUntil:   map[string]time.Time{},
-		started:        time.Now(),
-		timePerToken:   initialTimePerToken,
+		options:               options,
+		jobs:                  map[string]*activeJob{},
+		orphanedSince:         map[string]time.Time{},
+		storeUnreachableSince: map[string]time.Time{},
+		startBudget:           map[string]float64{},
+		refusedUntil:          map[string]time.Time{},
+		started:               time.Now(),
+		timePerToken:          initialTimePerToken,
 	}
 }
 
