Logs and counters tell which stream a request takes up, and the version of its endpoint

Hosts decoded neither an endpoint's software version nor which stream a caller takes up, so that a join within one answer, over a caller's tries and an endpoint that came back at another version look alike. No decision changes.

--- a/wagtailwharfd/wharfhost/online_test.go
+++ b/wagtailwharfd/wharfhost/online_test.go
@@ -23,7 +23,7 @@
 	assert.Equal(t, len(runs), 1)
 	run := runs[0]
 	run.At = time.Time{}
-	assert.DeepEqual(t, run, wharfstandin.Run{ID: "one", Organisation: "a", Path: target, Body: "the body", LastEvent: -1})
+	assert.DeepEqual(t, run, wharfstandin.Run{ID: "one", Version: "v1", Organisation: "a", Path: target, Body: "the body", LastEvent: -1})
 }
 
 func TestKeysAndRoutes(t *testing.T) {
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -292,7 +292,7 @@
 	}
 	d.endpoints[e.ID] = registration{endpoint: e}
 	klog.InfoS("endpoint registered", "endpoint", e.ID, "endpoint-address", e.Address.String(), "service", e.Service,
-		"endpoint-zone", e.Zone, "leaving", e.Leaving, "row-version", row.Version)
+		"endpoint-version", e.Version, "endpoint-zone", e.Zone, "leaving", e.Leaving, "row-version", row.Version)
 	return true
 }
 
--- a/wharf/state/wharfcall/call.go
+++ b/wharf/state/wharfcall/call.go
@@ -20,6 +20,8 @@
 	// LastEvent is the number of the last event that the caller has received, if Resumes is set.
 	LastEvent int
 	Resumes   bool // the caller asks to continue a stream
+	// StreamID is the ID of the caller's attempt that brought the first event of the stream to continue, "" if not given.
+	StreamID string
 	// SharedParts are the IDs of the prompt's parts that other requests may share, in order.
 	SharedParts []string
 }
--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -9,6 +9,7 @@
 type Endpoint struct {
 	ID      string
 	Service string
+	Version string // of its software; a stream continues only at an endpoint of the version that began it
 	Address netip.AddrPort
 	Zone    string
 	Slots   int
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -47,6 +47,7 @@
 	timeToFirstEvent time.Duration
 	queueTime        time.Duration // over all attempts
 	endpoint         string        // ID of the endpoint of the last attempt
+	endpointVersion  string        // version of that endpoint
 	placementLoad    endpointLoad  // load of that endpoint at placement, as known to this host
 	endpointLimit    float64       // limit that its last response named, or wharfcall.NoLimit
 	crashes          int           // crashes counted under this request after the last attempt, 0 if that was none
@@ -175,7 +176,7 @@
 // tryEndpoint makes one attempt at the endpoint of a placement and records its outcome.
 func (o *online) tryEndpoint(ctx context.Context, placement *wharffleet.Placement) wharfforwarder.Result {
 	s := o.server
-	o.endpoint = placement.Endpoint.ID
+	o.endpoint, o.endpointVersion = placement.Endpoint.ID, placement.Endpoint.Version
 	o.placementLoad = endpointLoad{online: placement.Online, batch: placement.Batch, slots: placement.Endpoint.Slots}
 	first, gap := wharftimeout.IdleTimeouts(o.route, o.mayRetry(), o.remaining())
 	o.sends++
@@ -254,11 +255,13 @@
 	s.options.Metrics.Record(o.organisationName(), wharfmetrics.Online, wharfmetrics.FirstToken,
 		o.queueTime+o.timeToFirstEvent)
 	s.options.Metrics.Record(o.organisationName(), wharfmetrics.Online, wharfmetrics.Total, total)
-	klog.InfoS("request answered", "request-id", o.call.ID, "organisation", o.organisationName(), "route", o.route.Name,
-		"endpoint", o.endpoint, "endpoint-online", o.placementLoad.online, "endpoint-batch", o.placementLoad.batch,
+	if o.continues() {
+		s.options.Metrics.Count("streams-continued")
+	}
+	klog.InfoS("request answered", o.logFields("endpoint", o.endpoint, "endpoint-version", o.endpointVersion, "endpoint-online", o.placementLoad.online, "endpoint-batch", o.placementLoad.batch,
 		"endpoint-slots", o.placementLoad.slots, "endpoint-limit", o.endpointLimit, "sends", o.sends, "runs", o.runs, "events", o.events,
 		"waited", o.queueTime.String(), "first", o.timeToFirstEvent.String(), "total", total.String(),
-		"configuration-version", o.table.Version)
+		"configuration-version", o.table.Version)...)
 }
 
 func (o *online) logAttempt(placement *wharffleet.Placement, result wharfforwarder.Result, action wharfoutcome.Action) {
@@ -267,7 +270,7 @@
 		reason = result.Err.Error()
 	}
 	klog.InfoS("attempt failed", "request-id", o.call.ID, "organisation", o.organisationName(), "route", o.route.Name,
-		"endpoint", placement.Endpoint.ID, "verdict", result.Outcome.String(), "next", action.String(),
+		"endpoint", placement.Endpoint.ID, "endpoint-version", placement.Endpoint.Version, "verdict", result.Outcome.String(), "next", action.String(),
 		"sends", o.sends, "runs", o.runs, "events", o.events, "left", o.remaining().String(), "error", reason,
 		"shared-parts", strings.Join(o.call.SharedParts, ","), "endpoint-suspect", placement.Suspect, "crashes", o.crashes)
 }
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -193,6 +193,9 @@
 	if q.route.Kind == wharfroute.Batch {
 		return q.submit(r.Context())
 	}
+	if q.continues() {
+		s.options.Metrics.Count("streams-taken-up")
+	}
 	return q.forward(r.Context())
 }
 
@@ -304,14 +307,30 @@
 func (q *request) refuse(err error) {
 	refusal := wharfrefusal.FromError(err)
 	q.server.options.Metrics.Count("refused/" + refusal.Code)
-	klog.InfoS("request refused", "request-id", q.call.ID, "organisation", q.organisationName(), "route", q.routeName(),
-		"status", refusal.Status, "code", refusal.Code, "run-state", string(refusal.RunState),
+	if q.continues() {
+		q.server.options.Metrics.Count("streams-refused/" + refusal.Code)
+	}
+	klog.InfoS("request refused", q.logFields("status", refusal.Status, "code", refusal.Code, "run-state", string(refusal.RunState),
 		"return-in", refusal.RetryAfter.String(),
 		"after", time.Since(q.call.Arrived).String(), "configuration-version", q.configurationVersion(),
-		"configuration-age", q.server.options.ConfigurationAge().String())
+		"configuration-age", q.server.options.ConfigurationAge().String())...)
 	q.server.options.Dialect.WriteRefusal(q.writer, refusal)
 }
 
+// continues reports whether the caller takes up a stream of which it has events.
+func (q *request) continues() bool {
+	return q.call.Resumes && q.call.LastEvent > 0
+}
+
+// logFields returns the fields of a log line that say which request it is about, followed by others.
+func (q *request) logFields(others ...any) []any {
+	fields := []any{"request-id", q.call.ID, "organisation", q.organisationName(), "route", q.routeName()}
+	if q.continues() {
+		fields = append(fields, "stream", q.call.StreamID, "continues-after", q.call.LastEvent)
+	}
+	return append(fields, others...)
+}
+
 func (q *request) configurationVersion() uint64 {
 	if q.table == nil {
 		return 0
