A batch item goes on only at the service and version of its text

An item, and its saved progress, now bear their origin; a text that no endpoint can continue, one from a build that saved no origin, and one that waits for a slot for longer than writing it again takes, is dropped and the item starts again. Items of one version without slots no longer keep back those of another.

--- a/wharf/coordination/wharfjobrunner/close.go
+++ b/wharf/coordination/wharfjobrunner/close.go
@@ -66,7 +66,7 @@
 		}
 		progress = append(progress, wharftask.Progress{
 			Item: i.index, Text: string(i.text), LastEvent: i.lastEvent, Events: i.events, Failures: i.failures,
-			Disconnects: i.disconnects,
+			Disconnects: i.disconnects, Origin: i.origin,
 		})
 	}
 	return progress
--- a/wharf/coordination/wharfjobrunner/finish.go
+++ b/wharf/coordination/wharfjobrunner/finish.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"wagtailwharf.example/wharf/coordination/wharfjobstore"
+	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfoutcome"
 	"wagtailwharf.example/wharf/state/wharfroute"
@@ -25,11 +26,12 @@
 func (r *Runner) attemptDone(route *wharfroute.Route, i *item, placement *wharffleet.Placement, outcome Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i.cancel = nil
+	i.cancel, i.stopped = nil, time.Now()
 	i.text = append(i.text, outcome.Text...)
 	if outcome.Events > 0 {
 		i.lastEvent = outcome.LastEvent
 		i.events += outcome.Events
+		i.origin = wharfcall.Origin{Service: placement.Endpoint.Service, Version: placement.Endpoint.Version}
 		i.runTime += time.Since(i.started)
 	}
 	next := r.handleOutcome(route, i, placement, outcome)
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -10,6 +10,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/coordination/wharfjobstore"
+	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfroute"
@@ -75,9 +76,9 @@
 	storeUnreachableSince map[string]time.Time
 	closing               bool
 	started               time.Time
-	startBudget           map[string]float64   // by service, how many items may be started
-	refusedUntil          map[string]time.Time // by service, until when no slot is asked for
-	timePerToken          time.Duration        // smoothed run time per token of an item
+	startBudget           map[string]float64             // by service, how many items may be started
+	refusedUntil          map[wharfcall.Origin]time.Time // until when no slot is asked for
+	timePerToken          time.Duration                  // smoothed run time per token of an item
 	goroutines            sync.WaitGroup
 }
 
@@ -89,7 +90,7 @@
 		orphanedSince:         map[string]time.Time{},
 		storeUnreachableSince: map[string]time.Time{},
 		startBudget:           map[string]float64{},
-		refusedUntil:          map[string]time.Time{},
+		refusedUntil:          map[wharfcall.Origin]time.Time{},
 		started:               time.Now(),
 		timePerToken:          initialTimePerToken,
 	}
@@ -193,6 +194,7 @@
 			if i.index == p.Item {
 				i.text, i.lastEvent, i.events = []byte(p.Text), p.LastEvent, p.Events
 				i.failures, i.disconnects = p.Failures, p.Disconnects
+				i.origin, i.stopped = p.Origin, time.Now()
 				resumed++
 			}
 		}
--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -99,7 +99,7 @@
 	h.hear()
 	var list []wharffleet.Endpoint
 	for i := range endpoints {
-		list = append(list, wharffleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Zone: "zone", Slots: 4,
+		list = append(list, wharffleet.Endpoint{ID: fmt.Sprint("e", i), Version: "v1", Service: "s", Zone: "zone", Slots: 4,
 			Address: netip.MustParseAddrPort("10.0.0.1:80")})
 	}
 	h.fleet.Update(list)
--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/state/wharfcall"
@@ -30,28 +32,61 @@
 	startable := r.startableItems(table)
 	r.mu.Unlock()
 	exact := r.options.Allocator.Exact()
-	full := map[string]bool{}
+	accrued, full := map[string]bool{}, map[wharfcall.Origin]bool{}
 	for _, s := range startable {
-		service := s.route.PickService()
-		if _, known := full[service]; !known {
-			full[service] = !r.mayStart(service, exact)
+		origin := r.origin(s)
+		if !exact && !accrued[origin.Service] {
+			accrued[origin.Service] = true
+			r.accrueBudget(origin.Service)
 		}
-		if full[service] {
-			continue
+		if _, known := full[origin]; !known {
+			full[origin] = exact && r.refused(origin)
+		}
+		if !full[origin] {
+			full[origin] = !r.startItem(ctx, s, origin, exact)
 		}
-		full[service] = !r.startItem(ctx, s, service, exact)
 	}
 }
 
-// mayStart begins a round of starts of a service's items and reports whether slots may be asked for.
-func (r *Runner) mayStart(service string, exact bool) bool {
+// minVersionWait is how long an item at least waits for a slot at the version of its text: several times as long as an online
+// request holds one.
+const minVersionWait = time.Second
+
+// origin returns the service and version at which an item runs next: those of its text so far or, if it has none, a service
+// of its route at any version. It drops a text that no endpoint can continue, and one that has waited for a slot for longer
+// than it takes to write it again.
+func (r *Runner) origin(s startable) wharfcall.Origin {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if exact {
-		return !time.Now().Before(r.refusedUntil[service])
+	i := s.item
+	if i.events > 0 {
+		since := i.stopped
+		if i.notBefore.After(since) {
+			since = i.notBefore
+		}
+		reason := ""
+		switch {
+		case !s.route.HasTarget(i.origin.Service):
+			reason = "service not known or no longer on the route"
+		case !r.options.Fleet.Serves(i.origin):
+			reason = "no endpoint of the version"
+		case time.Since(since) > max(minVersionWait, time.Duration(i.events)*r.timePerToken):
+			reason = "no slot at the version"
+		default:
+			return i.origin
+		}
+		klog.InfoS("batch item starts again", "request-id", i.ID, "job", i.job.job.ID, "reason", reason, "events", i.events,
+			"version", i.origin.Version)
+		i.text, i.events, i.lastEvent = nil, 0, 0
 	}
-	r.accrueBudget(service)
-	return true
+	return wharfcall.Origin{Service: s.route.PickService()}
+}
+
+// refused reports whether an allocator had no slot a moment ago.
+func (r *Runner) refused(origin wharfcall.Origin) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.refusedUntil[origin])
 }
 
 // startableItems returns the items that can be started, most urgent first. The caller holds r.mu.
@@ -88,8 +123,10 @@
 }
 
 // accrueBudget adds this host's share of the service's free slots, in proportion to the part of loadReportDelay that
-// has passed, so that hosts that see the same free slots do not all fill them. The caller holds r.mu.
+// has passed, so that hosts that see the same free slots do not all fill them.
 func (r *Runner) accrueBudget(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	alive := 1.0
 	for _, p := range r.options.Peers() {
 		if p.Presence == wharfgossip.Alive {
@@ -102,18 +139,18 @@
 }
 
 // startItem starts an item if there is a free slot, and reports whether there may be more.
-func (r *Runner) startItem(ctx context.Context, s startable, service string, exact bool) bool {
-	if !exact && !r.spendBudget(service) {
+func (r *Runner) startItem(ctx context.Context, s startable, origin wharfcall.Origin, exact bool) bool {
+	if !exact && !r.spendBudget(origin.Service) {
 		return false
 	}
 	placement, err := r.options.Allocator.Acquire(ctx, wharfallocator.Request{
-		Service: service, Batch: true, Reserve: s.candidate.ReservedSlots(),
+		Service: origin.Service, Version: origin.Version, Batch: true, Reserve: s.candidate.ReservedSlots(),
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
-		r.refusedUntil[service] = time.Now().Add(refusedPause)
-		r.startBudget[service]++ // of no effect while slots are granted by another host
+		r.refusedUntil[origin] = time.Now().Add(refusedPause)
+		r.startBudget[origin.Service]++ // of no effect while slots are granted by another host
 		return false
 	}
 	i, route := s.item, s.route
--- a/wharf/coordination/wharfjobrunner/task.go
+++ b/wharf/coordination/wharfjobrunner/task.go
@@ -52,12 +52,14 @@
 	text        []byte
 	lastEvent   int
 	events      int
-	failures    int // attempts whose answer says that the endpoint failed
-	disconnects int // attempts during which the connection was lost
+	origin      wharfcall.Origin // of the text so far, if there are events
+	failures    int              // attempts whose answer says that the endpoint failed
+	disconnects int              // attempts during which the connection was lost
 	notBefore   time.Time
 	cancel      context.CancelFunc // nil unless the item is running
 	endpoint    string
 	started     time.Time
+	stopped     time.Time     // end of the last attempt
 	runTime     time.Duration // over all attempts whose output is kept
 	finished    bool
 }
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"wagtailwharf.example/wharf/state/wharfcall"
 )
 
 const (
@@ -238,3 +240,15 @@
 	}
 	return free
 }
+
+// Serves reports whether there is an endpoint of a service and version that is not leaving.
+func (f *Fleet) Serves(origin wharfcall.Origin) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for e := range f.services[origin.Service].all() {
+		if e.Version == origin.Version && !e.leaves() {
+			return true
+		}
+	}
+	return false
+}
--- a/wharf/state/wharfroute/table.go
+++ b/wharf/state/wharfroute/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -47,6 +48,11 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
+// HasTarget reports whether the route sends requests to a service.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // PickService returns a target service of the route, chosen at random by weight, or "" if the route has no targets.
 func (r *Route) PickService() string {
 	total := 0.0
--- a/wharf/state/wharftask/task.go
+++ b/wharf/state/wharftask/task.go
@@ -1,6 +1,10 @@
 package wharftask
 
-import "time"
+import (
+	"time"
+
+	"wagtailwharf.example/wharf/state/wharfcall"
+)
 
 // Result is the outcome of one item of a batch job.
 type Result struct {
@@ -42,6 +46,8 @@
 	Events      int    `cbor:"4,keyasint"`
 	Failures    int    `cbor:"5,keyasint"`
 	Disconnects int    `cbor:"6,keyasint"`
+	// Origin is where the text comes from. It is empty in rows of older builds.
+	Origin wharfcall.Origin `cbor:"7,keyasint"`
 }
 
 // Pending reports whether the job is not cancelled and some items have no result.
