A stream that a caller takes up goes on only at the version that began it

A host must know the version of a stream that it never saw. Versions of a service get a row in the store (wharf-releases) before any stream begins at them, 1.5 s before unless it is the first, and keep it for two minutes without endpoints: a host that reads one row, after it was asked, knows the version. While several are possible, the origin of each resumable stream is recorded (wharf-streams) when its first event arrives; the event waits up to 50 ms for that. What is not known is refused at once, as not run: stream-version-unknown, stream-version-gone. Routes with several services always record, as each may serve the take-up.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -24,6 +24,8 @@
 	"wagtailwharf.example/wharf/coordination/wharflimiter"
 	"wagtailwharf.example/wharf/coordination/wharfmonotone"
 	"wagtailwharf.example/wharf/coordination/wharfrelay"
+	"wagtailwharf.example/wharf/coordination/wharfreleases"
+	"wagtailwharf.example/wharf/coordination/wharfstreams"
 	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
 	"wagtailwharf.example/wharf/protocol/wharfhostsettings"
 	"wagtailwharf.example/wharf/state/wharfcrash"
@@ -53,6 +55,8 @@
 	gossip         *wharfgossip.Gossip
 	limiter        *wharflimiter.Limiter
 	fleet          *wharffleet.Fleet
+	releases       *wharfreleases.Releases
+	streams        *wharfstreams.Streams
 	gate           *wharfgate.Gate[*wharffleet.Placement]
 	allocator      *wharfallocator.Allocator
 	crashes        *wharfcrash.Tracker
@@ -96,6 +100,11 @@
 	h.peerClient = wharfhostcalls.New(h.peerPool)
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.NotifyChange() })
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
+	h.releases = wharfreleases.New(wharfreleases.Options{Store: h.store, Host: settings.Host, Live: h.liveHosts})
+	h.fleet.BeginOnlyWhere(h.releases.Admits)
+	h.streams = wharfstreams.New(wharfstreams.Options{
+		Store: h.store, Releases: h.releases, Host: settings.Host, Live: h.liveHosts, Count: h.metrics.Count,
+	})
 	h.gossip = wharfgossip.New(wharfgossip.Options{
 		Listen: settings.Peers,
 		Self: wharfgossip.Message{
@@ -150,6 +159,7 @@
 		Gate:             h.gate,
 		Allocator:        h.allocator,
 		Forwarder:        forwarder,
+		Streams:          h.streams,
 		Crashes:          h.crashes,
 		Jobs:             h.jobs,
 		Metrics:          h.metrics,
@@ -190,6 +200,7 @@
 
 // onViewChange applies a new configuration or a new set of endpoints.
 func (h *Host) onViewChange(v *wharfdirectory.View) {
+	h.releases.Update(v.Endpoints)
 	h.fleet.Update(v.Endpoints)
 	if v.Table == nil {
 		return
@@ -309,8 +320,28 @@
 	snapshot, err := h.peerClient.Snapshot(ctx, p.Address)
 	if err != nil {
 		klog.InfoS("snapshot request failed", "peer", p.Host, "error", err.Error())
+		return snapshot, err
+	}
+	h.releases.Merge(snapshot.Admitted)
+	return snapshot, nil
+}
+
+// snapshot returns this host's state for a peer.
+func (h *Host) snapshot() wharfdirectory.Snapshot {
+	s := h.directory.Snapshot()
+	s.Admitted = h.releases.Admitted()
+	return s
+}
+
+// liveHosts returns the hosts that are alive, including this one.
+func (h *Host) liveHosts() []string {
+	live := []string{h.settings.Host}
+	for _, p := range h.gossip.Peers() {
+		if p.Presence == wharfgossip.Alive && !p.Status.Leaving {
+			live = append(live, p.Host)
+		}
 	}
-	return snapshot, err
+	return live
 }
 
 // pickSnapshotPeer returns a random live peer that knows a newer store version than known, preferably in zone. It does
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -64,7 +64,7 @@
 	}
 	server, err := wharfhostcalls.NewServer(wharfhostcalls.Handlers{
 		Pull:     func(r wharfhostcalls.PullRequest) float64 { return h.limiter.Give(r.Organisation, r.Wanted) },
-		Snapshot: h.directory.Snapshot,
+		Snapshot: h.snapshot,
 		Relay:    h.relay.Handle,
 		Reserve: func(r wharfallocator.Reservation) wharfallocator.Grant {
 			return h.allocator.Grant(ctx, r)
@@ -111,6 +111,8 @@
 		{Name: "gossip", Run: h.gossip.Serve},
 		{Name: "members", Run: h.membership.run},
 		{Name: "relay", Run: h.relay.Serve},
+		{Name: "releases", Run: h.releases.Serve},
+		{Name: "streams", Run: h.streams.Serve},
 		{Name: "limiter", Run: h.limiter.Serve},
 		{Name: "blocklist", Run: h.blocklist.Serve},
 		{Name: "crashes", Run: h.settleCrashes},
--- a/wharf/coordination/wharfdirectory/view.go
+++ b/wharf/coordination/wharfdirectory/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
+	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfroute"
 )
@@ -32,5 +33,6 @@
 	ConfigurationVersion uint64 // store version up to which the configuration is known
 	Endpoints            []wharffleet.Endpoint
 	EndpointsVersion     uint64
-	Age                  time.Duration // time since the store confirmed the state
+	Age                  time.Duration      // time since the store confirmed the state
+	Admitted             []wharfcall.Origin // versions at which streams may begin
 }
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -49,7 +49,8 @@
 	dirty     map[string]bool   // endpoints whose load from this host changed since the last call of Changes
 	changed   func()
 	connected func(address netip.AddrPort) bool
-	random    func() float64 // uniform in [0, 1)
+	admits    func(e *Endpoint, now time.Time) bool // whether streams may begin there
+	random    func() float64                        // uniform in [0, 1)
 	// announcements outlive the entries, whose registrations may lapse.
 	announcements    map[incarnation]*announcement
 	lastSilenceCheck time.Time
@@ -70,6 +71,7 @@
 		dirty:         map[string]bool{},
 		changed:       changed,
 		connected:     func(netip.AddrPort) bool { return false },
+		admits:        func(*Endpoint, time.Time) bool { return true },
 		random:        rand.Float64,
 		announcements: map[incarnation]*announcement{},
 		hosts:         1,
@@ -82,6 +84,12 @@
 	f.connected = connected
 }
 
+// BeginOnlyWhere keeps online requests that do not continue a stream from endpoints for which admits reports false. It must
+// be called before the first Pick.
+func (f *Fleet) BeginOnlyWhere(admits func(e *Endpoint, now time.Time) bool) {
+	f.admits = admits
+}
+
 // Update replaces the registered endpoints. Endpoints that are no longer registered get no more requests.
 func (f *Fleet) Update(endpoints []Endpoint) {
 	f.mu.Lock()
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -99,6 +99,10 @@
 		if e.leaves() || sel.Version != "" && e.Version != sel.Version || !e.available(sel.LastAttempt, sel.now) {
 			continue
 		}
+		if !sel.mayRunAt(f, e) {
+			sel.anyAvailable = sel.anyAvailable || !sel.avoids(e.ID)
+			continue
+		}
 		sel.totalSlots += e.Slots
 		if !e.announcement.accepts(sel.now) {
 			sel.anyAvailable = sel.anyAvailable || !sel.avoids(e.ID)
@@ -114,6 +118,11 @@
 	}
 }
 
+// mayRunAt reports whether the request may run at the endpoint's version.
+func (sel *selection) mayRunAt(f *Fleet, e *entry) bool {
+	return sel.Batch || sel.Version != "" || f.admits(&e.Endpoint, sel.now)
+}
+
 // add adds an endpoint to the selection, and chooses it with a probability in proportion to its weight.
 func (sel *selection) add(f *Fleet, e *entry, factor float64) {
 	weight, hasFree := e.weight(sel.Request)
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -64,8 +64,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[id]
-	if e == nil || e.leaves() || r.Version != "" && e.Version != r.Version {
-		return nil, false // a host of an older build does not know that the request needs a version
+	// A host of an older build does not know that the request needs a version.
+	if e == nil || e.leaves() || r.Version != "" && e.Version != r.Version ||
+		!r.Batch && r.Version == "" && !f.admits(&e.Endpoint, time.Now()) {
+		return nil, false
 	}
 	p := &Placement{Endpoint: e.Endpoint, fleet: f, entry: e, batch: r.Batch, Suspect: suspect}
 	if !e.ejectedUntil.IsZero() {
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -66,12 +66,31 @@
 			return o.refuseBlocked(verdict)
 		}
 	}
+	if q.continues() && q.route.Kind == wharfroute.Streaming {
+		if err := o.findOrigin(ctx); err != nil {
+			return err
+		}
+	}
 	if err := q.admit(ctx); err != nil {
 		return err
 	}
 	return o.run(ctx)
 }
 
+// findOrigin restricts a stream that the caller takes up to the service and version that began it.
+func (o *online) findOrigin(ctx context.Context) error {
+	origin, err := o.server.options.Streams.Origin(ctx, o.organisationName(), o.call.StreamID, o.route)
+	if err != nil {
+		klog.InfoS("origin of stream not known", o.logFields("error", err.Error())...)
+		return o.withRetryAfter(errVersionUnknown)
+	}
+	if !o.route.HasTarget(origin.Service) {
+		return errVersionGone
+	}
+	o.service, o.version = origin.Service, origin.Version
+	return nil
+}
+
 // admit enforces the organisation's rate limit.
 func (q *request) admit(ctx context.Context) error {
 	if q.organisation == nil {
@@ -156,6 +175,8 @@
 		return errEndpointFailed
 	case ctx.Err() != nil:
 		return o.refuseExpired(ctx)
+	case errors.Is(err, wharfpick.ErrNoEndpoint) && o.version != "":
+		return errVersionGone
 	case errors.Is(err, wharfpick.ErrNoEndpoint):
 		return o.withRetryAfter(errNoEndpoint)
 	}
@@ -343,6 +364,11 @@
 
 // WriteEvent forwards an event, and flushes unless another event follows immediately.
 func (o *online) WriteEvent(e wharfframes.Event, more bool) error {
+	if o.version == "" && o.route.Resumable {
+		o.version = o.endpointVersion
+		o.server.options.Streams.Begin(o.organisationName(), o.call.ID, o.route,
+			wharfcall.Origin{Service: o.service, Version: o.version})
+	}
 	if o.attemptEvents++; o.attemptEvents == begunEvents {
 		defer o.noteAnswer()
 	}
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -14,6 +14,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfgate"
 	"wagtailwharf.example/wharf/coordination/wharfjobstore"
 	"wagtailwharf.example/wharf/coordination/wharflimiter"
+	"wagtailwharf.example/wharf/coordination/wharfstreams"
 	"wagtailwharf.example/wharf/protocol/wharfdialect"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
 	"wagtailwharf.example/wharf/state/wharfcall"
@@ -57,6 +58,10 @@
 		"all slots are taken; come back later")
 	errNoEndpoint = wharfrefusal.New(http.StatusServiceUnavailable, "no-endpoint",
 		"no endpoint of the service works at present")
+	errVersionUnknown = wharfrefusal.New(http.StatusServiceUnavailable, "stream-version-unknown",
+		"the version that began the stream is not known, so that it can not continue")
+	errVersionGone = wharfrefusal.New(http.StatusServiceUnavailable, "stream-version-gone",
+		"no endpoint of the version that began the stream works at present, so that it can not continue")
 	errDeclined = wharfrefusal.New(http.StatusServiceUnavailable, "declined",
 		"the endpoints have not run the request; come back later")
 	errTooLate = wharfrefusal.New(http.StatusServiceUnavailable, "too-late",
@@ -84,6 +89,7 @@
 	Gate             *wharfgate.Gate[*wharffleet.Placement]
 	Allocator        *wharfallocator.Allocator
 	Forwarder        *wharfforwarder.Forwarder
+	Streams          *wharfstreams.Streams
 	Crashes          *wharfcrash.Tracker
 	Jobs             *wharfjobstore.Store
 	Metrics          *wharfmetrics.Metrics
