--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -53,35 +53,56 @@
 const minVersionWait = time.Second
 
 // origin returns the service and version at which an item runs next: those of its text so far or, if it has none, a service
-// of its route at any version. It drops a text that no endpoint can continue, and one that has waited for a slot for longer
-// than it takes to write it again.
+// of its route at any version. It drops a text that no endpoint can continue.
 func (r *Runner) origin(s startable) wharfcall.Origin {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := s.item
 	if i.events > 0 {
-		since := i.stopped
-		if i.notBefore.After(since) {
-			since = i.notBefore
-		}
-		reason := ""
 		switch {
 		case !s.route.HasTarget(i.origin.Service):
-			reason = "service not known or no longer on the route"
+			i.startAgain("service not known or no longer on the route")
 		case !r.options.Fleet.Serves(i.origin):
-			reason = "no endpoint of the version"
-		case time.Since(since) > max(minVersionWait, time.Duration(i.events)*r.timePerToken):
-			reason = "no slot at the version"
+			i.startAgain("no endpoint of the version")
 		default:
 			return i.origin
 		}
-		klog.InfoS("batch item starts again", "request-id", i.ID, "job", i.job.job.ID, "reason", reason, "events", i.events,
-			"version", i.origin.Version)
-		i.text, i.events, i.lastEvent = nil, 0, 0
 	}
 	return wharfcall.Origin{Service: s.route.PickService()}
 }
 
+// startAgain drops an item's text. The caller holds Runner.mu.
+func (i *item) startAgain(reason string) {
+	klog.InfoS("batch item starts again", "request-id", i.ID, "job", i.job.job.ID, "reason", reason, "events", i.events,
+		"version", i.origin.Version)
+	i.text, i.events, i.lastEvent, i.origin = nil, 0, 0, wharfcall.Origin{}
+}
+
+// acquire gets a slot for an item: at the version of its text or, if it has waited for that for longer than it takes to write
+// the text again, at any.
+func (r *Runner) acquire(ctx context.Context, s startable, origin wharfcall.Origin) (*wharffleet.Placement, error) {
+	request := wharfallocator.Request{
+		Service: origin.Service, Version: origin.Version, Batch: true, Reserve: s.candidate.ReservedSlots(),
+	}
+	placement, err := r.options.Allocator.Acquire(ctx, request)
+	if err == nil || origin.Version == "" {
+		return placement, err
+	}
+	r.mu.Lock()
+	i := s.item
+	since := i.stopped
+	if i.notBefore.After(since) {
+		since = i.notBefore
+	}
+	waited := time.Since(since) > max(minVersionWait, time.Duration(i.events)*r.timePerToken)
+	r.mu.Unlock()
+	if !waited {
+		return nil, err
+	}
+	request.Version = ""
+	return r.options.Allocator.Acquire(ctx, request)
+}
+
 // refused reports whether an allocator had no slot a moment ago.
 func (r *Runner) refused(origin wharfcall.Origin) bool {
 	r.mu.Lock()
@@ -143,9 +164,7 @@
 	if !exact && !r.spendBudget(origin.Service) {
 		return false
 	}
-	placement, err := r.options.Allocator.Acquire(ctx, wharfallocator.Request{
-		Service: origin.Service, Version: origin.Version, Batch: true, Reserve: s.candidate.ReservedSlots(),
-	})
+	placement, err := r.acquire(ctx, s, origin)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
@@ -158,6 +177,9 @@
 		placement.Release()
 		return true
 	}
+	if i.events > 0 && placement.Endpoint.Version != i.origin.Version {
+		i.startAgain("no slot at the version")
+	}
 	runCtx, cancel := context.WithCancel(ctx)
 	i.cancel = cancel
 	i.endpoint = placement.Endpoint.ID
