Streams that callers take up go before new ones, within the rate as well

Half of their work is done, and the first attempt was admitted.

TestStreamsTakenUpOverdrawSharesAndNewRequestsPay and TestStreamsTakenUpGoFirstAndHoldUpNobody.

--- a/wagtailwharfd/wharfhost/allocation.go
+++ b/wagtailwharfd/wharfhost/allocation.go
@@ -10,7 +10,6 @@
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/coordination/wharflimiter"
-	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
 )
 
 // newAllocator returns the allocator of slots for this host and, if it is elected, for its zone.
@@ -80,7 +79,7 @@
 
 // admitAt has an allocator of the zone admit a request.
 func (h *Host) admitAt(
-	ctx context.Context, to wharfgossip.AllocatorHost, organisation string,
+	ctx context.Context, to wharfgossip.AllocatorHost, a wharflimiter.Admission,
 ) (wharflimiter.Decision, error) {
 	if h.allocator.IsSuspended(to.Host) {
 		return wharflimiter.Decision{}, errSuspended
@@ -88,10 +87,10 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), admitTimeout)
 	defer cancel()
 	start := time.Now()
-	decision, err := h.peerClient.Admit(ctx, to.Address, wharfhostcalls.AdmitRequest{Organisation: organisation})
+	decision, err := h.peerClient.Admit(ctx, to.Address, a)
 	h.allocator.NoteCall(to.Host, start, err == nil)
 	if err != nil {
-		klog.InfoS("allocator did not admit or reject", "peer", to.Host, "organisation", organisation,
+		klog.InfoS("allocator did not admit or reject", "peer", to.Host, "organisation", a.Organisation,
 			"error", err.Error())
 	}
 	return decision, err
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -69,8 +69,8 @@
 		Reserve: func(r wharfallocator.Reservation) wharfallocator.Grant {
 			return h.allocator.Grant(ctx, r)
 		},
-		Admit: func(r wharfhostcalls.AdmitRequest) wharflimiter.Decision {
-			return h.limiter.AdmitHere(ctx, r.Organisation)
+		Admit: func(a wharflimiter.Admission) wharflimiter.Decision {
+			return h.limiter.AdmitHere(ctx, a)
 		},
 		Strike: h.takeCrashReport,
 	})
--- a/wharf/coordination/wharfgate/gate_test.go
+++ b/wharf/coordination/wharfgate/gate_test.go
@@ -128,3 +128,37 @@
 		waiters.Wait()
 	})
 }
+
+func TestStreamsTakenUpGoFirstAndHoldUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1)
+		held, _, err := g.Acquire(t.Context(), g.request("o", time.Minute))
+		assert.NilError(t, err)
+		var order []string
+		var work sync.WaitGroup
+		wait := func(name string, r Request[*wharfpick.Endpoint], want error) {
+			work.Go(func() {
+				e, _, err := g.Acquire(t.Context(), r)
+				assert.Check(t, errors.Is(err, want), "%s: %v", name, err)
+				order = append(order, name)
+				if err == nil {
+					time.Sleep(10 * time.Millisecond)
+					g.Release(e, "s")
+				}
+			})
+			synctest.Wait()
+		}
+		wait("new", g.request("o", time.Minute), nil)
+		unplaceable := g.request("o", time.Second)
+		unplaceable.Continues = true
+		unplaceable.Pick = func(time.Time) (*wharfpick.Endpoint, error) { return nil, wharfpick.ErrAllFull }
+		wait("version full", unplaceable, ErrBusy)
+		taken := g.request("o", time.Minute)
+		taken.Continues = true
+		wait("taken up", taken, nil)
+		g.Release(held, "s")
+		work.Wait()
+		assert.DeepEqual(t, order, []string{"taken up", "new", "version full"})
+		assert.Equal(t, g.Waiting(), 0)
+	})
+}
--- a/wharf/coordination/wharflimiter/large_test.go
+++ b/wharf/coordination/wharflimiter/large_test.go
@@ -41,7 +41,7 @@
 }
 
 func (f *fleet) admitAt(
-	ctx context.Context, from int, to wharfgossip.AllocatorHost, organisation string,
+	ctx context.Context, from int, to wharfgossip.AllocatorHost, a Admission,
 ) (Decision, error) {
 	f.calls++
 	if from == f.unanswered {
@@ -51,7 +51,7 @@
 		}
 		return Decision{}, errPartitioned
 	}
-	return f.limiters[f.index(to.Host)].AdmitHere(ctx, organisation), nil
+	return f.limiters[f.index(to.Host)].AdmitHere(ctx, a), nil
 }
 
 // suspended reports whether host i does not call the allocators of its zone.
@@ -148,7 +148,7 @@
 		f.assertWithinLimit(t)
 		d := Decision{Admitted: true}
 		for d.Admitted {
-			d = f.limiters[f.unanswered].Admit(t.Context(), "org")
+			d = f.limiters[f.unanswered].Admit(t.Context(), Admission{Organisation: "org"})
 		}
 		assert.Assert(t, d.Undecided, "it does not know that the organisation is over its rate")
 	})
--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -45,6 +45,9 @@
 	// they are about a tenth of what a rate gives in five seconds.
 	reservePeriod = 500 * time.Millisecond
 	reserveRefill = 0.02
+	// overdraft is how many tokens below zero streams that are taken up may bring a host's share. They come all at once when
+	// hosts are killed, of which each has a few for an organisation.
+	overdraft = 1.0
 	// minRetryAfter and retryAfterJitter are the minimum delay suggested to a rejected caller, and its random part.
 	minRetryAfter    = 200 * time.Millisecond
 	retryAfterJitter = 300 * time.Millisecond
@@ -62,7 +65,7 @@
 	// answer or not. A small fleet has none.
 	Allocators func() []wharfgossip.AllocatorHost
 	// AdmitAt has an allocator admit a request. It returns an error if the allocator does not answer.
-	AdmitAt func(ctx context.Context, to wharfgossip.AllocatorHost, organisation string) (Decision, error)
+	AdmitAt func(ctx context.Context, to wharfgossip.AllocatorHost, a Admission) (Decision, error)
 	// Shares returns what this host may use of each rate.
 	Shares func() Shares
 	// RemoteAllocators returns the first allocators of the other zones.
@@ -177,6 +180,14 @@
 	return restartTokens
 }
 
+// Admission asks to admit one request.
+type Admission struct {
+	Organisation string
+	// Continues is set for a stream that a caller takes up after it broke off. It may overdraw a share: its first attempt was
+	// admitted, and new requests wait until the debt is paid.
+	Continues bool
+}
+
 // Decision is the result of an admission.
 type Decision struct {
 	Admitted   bool
@@ -189,8 +200,8 @@
 
 // Admit takes one token of an organisation. In a large fleet, where each host has only a small part of a token, an
 // allocator of the zone takes it. If none answers, this host gets one from the allocators of other zones.
-func (l *Limiter) Admit(ctx context.Context, organisation string) Decision {
-	if !l.limits(organisation) {
+func (l *Limiter) Admit(ctx context.Context, a Admission) Decision {
+	if !l.limits(a.Organisation) {
 		return Decision{Admitted: true}
 	}
 	unanswered := false
@@ -198,13 +209,13 @@
 		if to.Self {
 			break
 		}
-		d, err := l.options.AdmitAt(ctx, to, organisation)
+		d, err := l.options.AdmitAt(ctx, to, a)
 		if err == nil {
 			return d
 		}
 		unanswered = true
 	}
-	d := l.AdmitHere(ctx, organisation)
+	d := l.AdmitHere(ctx, a)
 	d.Undecided = unanswered && !d.Admitted
 	return d
 }
@@ -216,8 +227,9 @@
 }
 
 // AdmitHere takes one token of an organisation from this host's share, pulling tokens from other hosts if it is empty.
-func (l *Limiter) AdmitHere(ctx context.Context, organisation string) Decision {
-	d, wanted, final := l.admitLocally(organisation)
+func (l *Limiter) AdmitHere(ctx context.Context, a Admission) Decision {
+	organisation := a.Organisation
+	d, wanted, final := l.admitLocally(a)
 	if final {
 		return d
 	}
@@ -229,17 +241,17 @@
 
 // admitLocally tries this host's share. final reports whether the decision stands without a pull; otherwise wanted is
 // the number of tokens to pull.
-func (l *Limiter) admitLocally(organisation string) (d Decision, wanted float64, final bool) {
+func (l *Limiter) admitLocally(a Admission) (d Decision, wanted float64, final bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.buckets[organisation]
+	b := l.buckets[a.Organisation]
 	if b == nil {
 		return Decision{Admitted: true}, 0, true
 	}
 	now := time.Now()
 	b.requests++
 	d = Decision{HostCount: l.hostCount}
-	if b.share.Take(now) {
+	if b.share.Take(now) || a.Continues && b.share.Overdraw(overdraft, now) {
 		d.Admitted = true
 		d.Level = b.share.Level(now)
 		return d, 0, true
@@ -382,7 +394,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	return l.codec.encode(func(name string) float64 { return l.buckets[name].share.Level(now) })
+	return l.codec.encode(func(name string) float64 { return max(0, l.buckets[name].share.Level(now)) })
 }
 
 // Serve pulls tokens ahead of demand until ctx is done.
--- a/wharf/coordination/wharflimiter/limiter_test.go
+++ b/wharf/coordination/wharflimiter/limiter_test.go
@@ -80,8 +80,8 @@
 			return f.limiters[j].Give(organisation, wanted), nil
 		},
 		Allocators: func() []wharfgossip.AllocatorHost { return f.allocators(i, i%f.zones) },
-		AdmitAt: func(ctx context.Context, to wharfgossip.AllocatorHost, organisation string) (Decision, error) {
-			return f.admitAt(ctx, i, to, organisation)
+		AdmitAt: func(ctx context.Context, to wharfgossip.AllocatorHost, a Admission) (Decision, error) {
+			return f.admitAt(ctx, i, to, a)
 		},
 		Shares:           func() Shares { return f.shares(i) },
 		RemoteAllocators: func() []wharfgossip.Peer { return f.remoteAllocators(i) },
@@ -98,7 +98,7 @@
 		l.Configure([]wharfroute.Organisation{{Name: "org", Rate: 60, Burst: 60}})
 		time.Sleep(time.Second)
 		admitted := 0
-		for l.Admit(context.Background(), "org").Admitted {
+		for l.Admit(context.Background(), Admission{Organisation: "org"}).Admitted {
 			admitted++
 		}
 		assert.Assert(t, admitted <= 5, "%d", admitted)
@@ -157,7 +157,7 @@
 	if f.exact != nil && !f.exact.Take(time.Now()) {
 		f.exactlyRejected++
 	}
-	if f.limiters[i].Admit(context.Background(), "org").Admitted {
+	if f.limiters[i].Admit(context.Background(), Admission{Organisation: "org"}).Admitted {
 		f.admitted = append(f.admitted, time.Now())
 		return
 	}
@@ -309,6 +309,33 @@
 	l := New(Options{Peers: func() []wharfgossip.Peer { return nil }, Allocators: noAllocators})
 	l.Configure([]wharfroute.Organisation{{Name: "free"}})
 	for range 1000 {
-		assert.Assert(t, l.Admit(context.Background(), "free").Admitted)
+		assert.Assert(t, l.Admit(context.Background(), Admission{Organisation: "free"}).Admitted)
 	}
 }
+
+func TestStreamsTakenUpOverdrawSharesAndNewRequestsPay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, rate, burst = 10, 40.0, 40.0
+		f := newFleet(hosts, rate, burst)
+		admit := func(i int, continues bool) bool {
+			return f.limiters[i%hosts].Admit(t.Context(), Admission{Organisation: "org", Continues: continues}).Admitted
+		}
+		for i := range 200 {
+			admit(i, false)
+		}
+		taken := 0
+		for i := range 100 {
+			if admit(i, true) {
+				taken++
+			}
+		}
+		assert.Assert(t, taken >= hosts && taken <= 2*hosts, "%d admitted", taken)
+		admitted, window := 0, 5*time.Second
+		for start := time.Now(); time.Since(start) < window; time.Sleep(10 * time.Millisecond) {
+			if admit(f.random.IntN(hosts), false) {
+				admitted++
+			}
+		}
+		assert.Assert(t, float64(taken+admitted) <= rate*window.Seconds()+hosts, "%d and %d admitted", taken, admitted)
+	})
+}
--- a/wharf/protocol/wharfhostcalls/calls.go
+++ b/wharf/protocol/wharfhostcalls/calls.go
@@ -32,11 +32,6 @@
 	Tokens float64
 }
 
-// AdmitRequest has an allocator admit a request of an organisation.
-type AdmitRequest struct {
-	Organisation string
-}
-
 // CrashReport tells what a host has learned about requests that crash endpoints.
 type CrashReport struct {
 	Host    string // the sender
@@ -95,7 +90,7 @@
 }
 
 // Admit has an allocator admit a request by its organisation's rate.
-func (c *Client) Admit(ctx context.Context, to netip.AddrPort, request AdmitRequest) (wharflimiter.Decision, error) {
+func (c *Client) Admit(ctx context.Context, to netip.AddrPort, request wharflimiter.Admission) (wharflimiter.Decision, error) {
 	var reply wharflimiter.Decision
 	err := c.caller.Call(ctx, to, service+".Admit", request, &reply)
 	return reply, err
@@ -108,7 +103,7 @@
 	Strike   func(CrashReport)
 	Relay    func(wharfrelay.Request) wharfrelay.Reply
 	Reserve  func(wharfallocator.Reservation) wharfallocator.Grant
-	Admit    func(AdmitRequest) wharflimiter.Decision
+	Admit    func(wharflimiter.Admission) wharflimiter.Decision
 }
 
 // NewServer returns a net/rpc server for calls of other hosts.
@@ -154,7 +149,7 @@
 }
 
 // Admit admits a request of the calling host.
-func (m *methods) Admit(request AdmitRequest, reply *wharflimiter.Decision) error {
+func (m *methods) Admit(request wharflimiter.Admission, reply *wharflimiter.Decision) error {
 	*reply = m.handlers.Admit(request)
 	return nil
 }
--- a/wharf/state/wharfshare/share.go
+++ b/wharf/state/wharfshare/share.go
@@ -32,6 +32,17 @@
 	return true
 }
 
+// Overdraw spends a token if the level stays at or above -limit, and reports whether it does. Take fails until the debt
+// is paid.
+func (s *Share) Overdraw(limit float64, now time.Time) bool {
+	s.refill(now)
+	if s.level-1 < -limit {
+		return false
+	}
+	s.level--
+	return true
+}
+
 // Withdraw removes up to wanted tokens for a transfer to another host, and returns their number.
 func (s *Share) Withdraw(wanted float64, now time.Time) float64 {
 	s.refill(now)
--- a/wharf/state/wharftimeout/timeout.go
+++ b/wharf/state/wharftimeout/timeout.go
@@ -35,7 +35,7 @@
 )
 
 // SlotWait returns how long a request may wait for a slot. elapsed is the time since its arrival, and retried reports
-// whether it has been sent to an endpoint before.
+// whether it, or the stream that it continues, has been sent to an endpoint before.
 func SlotWait(r *wharfroute.Route, elapsed time.Duration, retried bool) time.Duration {
 	if retried {
 		return retrySlotWait
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
+	"wagtailwharf.example/wharf/coordination/wharflimiter"
 	"wagtailwharf.example/wharf/protocol/wharfframes"
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfcrash"
@@ -96,7 +97,9 @@
 	if q.organisation == nil {
 		return nil
 	}
-	d := q.server.options.Limiter.Admit(ctx, q.organisation.Name)
+	d := q.server.options.Limiter.Admit(ctx, wharflimiter.Admission{
+		Organisation: q.organisation.Name, Continues: q.continues(),
+	})
 	if d.Admitted {
 		return nil
 	}
@@ -158,7 +161,7 @@
 		Continues:    o.version != "",
 		Organisation: o.organisationName(),
 		Weight:       wharftimeout.QueueWeight(o.route, o.organisation),
-		MaxWait:      wharftimeout.SlotWait(o.route, time.Since(o.call.Arrived), o.sends > 0),
+		MaxWait:      wharftimeout.SlotWait(o.route, time.Since(o.call.Arrived), o.sends > 0 || o.continues()),
 		Avoid:        o.avoid,
 		LastAttempt:  !o.mayRetry(),
 	})
