An earlier refusal written again is not taken for the next try of an item

Requests of callers are safe here: all tries of one attempt go to different endpoints, and an answer that names another request is skipped. Items of batch jobs bear one ID in all tries and may come back to the endpoint: the second copy of a 503, 421 or 500 was then taken for the answer to the next try, which was running; three such copies of a 500 give an item up. A connection now knows which requests were refused or failed on it and does not carry them again.

TestEarlierRefusalWrittenAgainIsNotTakenForTheNextTry: all three kinds fail without the change, pass with it.

--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -134,7 +134,7 @@
 }
 
 func (a *attempt) run(ctx context.Context) error {
-	conn, err := a.forwarder.pool.Get(ctx, a.Address, a.NonRepeatable)
+	conn, err := a.forwarder.pool.Get(ctx, a.Address, a.Call.ID, a.NonRepeatable)
 	if err != nil {
 		return err
 	}
@@ -152,6 +152,9 @@
 		conn.Close()
 		return err
 	}
+	if err != nil {
+		conn.NoteRefused(a.Call.ID)
+	}
 	if stop() {
 		a.forwarder.pool.Put(conn, response, a.reuseFor)
 	}
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -54,6 +54,7 @@
 	requests []string // request IDs
 	bodies   []string
 	conns    int
+	repeat   string // written before each response but the first of a connection
 }
 
 func newEndpoint(t *testing.T, answer func(id string, request int) []string) *endpoint {
@@ -80,7 +81,7 @@
 func (e *endpoint) serve(conn *net.TCPConn, answer func(id string, request int) []string) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for {
+	for answered := 0; ; answered++ {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -100,6 +101,9 @@
 			e.bodies = append(e.bodies, string(body))
 			e.mu.Unlock()
 		}
+		if e.repeat != "" && answered > 0 {
+			parts = append([]string{e.repeat}, parts...)
+		}
 		for _, part := range parts {
 			switch part {
 			case "early":
@@ -371,3 +375,35 @@
 	assert.Equal(t, do(t, New(dialect{}, wharfhttpconn.NewPool()), x, &recordingSink{}).Outcome, wharfoutcome.Outcome(0))
 	assert.DeepEqual(t, stalls, []bool{true, false})
 }
+
+// TestEarlierRefusalWrittenAgainIsNotTakenForTheNextTry guards against the next try of an item, which has the same ID, at the
+// same endpoint on the connection that brought the first refusal.
+func TestEarlierRefusalWrittenAgainIsNotTakenForTheNextTry(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"declined":  "HTTP/1.1 503 X\r\nId: x\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno",
+		"misplaced": "HTTP/1.1 421 X\r\nId: x\r\nContent-Length: 0\r\n\r\n",
+		"failed":    "HTTP/1.1 500 X\r\nId: x\r\nContent-Length: 4\r\n\r\noops",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(id string, request int) []string {
+				switch {
+				case request == 1:
+					return []string{refusal}
+				case id != "x":
+					return []string{stream(id, 1, 1) + lastChunk}
+				}
+				return []string{stream("x", 1, 3) + lastChunk}
+			})
+			e.repeat = refusal
+			f := New(dialect{}, wharfhttpconn.NewPool())
+			first := do(t, f, exchange(e, "x"), &recordingSink{})
+			assert.Assert(t, first.Outcome != 0)
+			other, sink := do(t, f, exchange(e, "y"), &recordingSink{}), &recordingSink{}
+			assert.Equal(t, other.Outcome, wharfoutcome.Outcome(0), "the connection is still of use for other requests: %v", other.Err)
+			second := do(t, f, exchange(e, "x"), sink)
+			assert.Equal(t, second.Outcome, wharfoutcome.Outcome(0), "%v", second.Err)
+			assert.Equal(t, sink.text.String(), event(1)+event(2)+event(3))
+			assert.Equal(t, e.conns, 2)
+		})
+	}
+}
--- a/wharf/transport/wharfhttpconn/conn.go
+++ b/wharf/transport/wharfhttpconn/conn.go
@@ -60,6 +60,7 @@
 	conn       *net.TCPConn
 	source     *boundedReader
 	reader     *bufio.Reader // reads from source
+	refused    []string      // IDs of requests that the endpoint has refused or failed on it
 	idleSince  time.Time
 	keepAlive  time.Duration // idle timeout announced by the endpoint, 0 if none
 	bodyResult chan error    // result of a body written in the background, nil if there is none
@@ -104,6 +105,11 @@
 	_ = c.conn.Close()
 }
 
+// NoteRefused records that the endpoint has refused or failed a request on the connection.
+func (c *Conn) NoteRefused(id string) {
+	c.refused = append(c.refused, id)
+}
+
 // Send writes a request. Its error wraps ErrConnectionBroken, since the endpoint may have read what was written.
 func (c *Conn) Send(r *Request) error {
 	var head bytes.Buffer
--- a/wharf/transport/wharfhttpconn/pool.go
+++ b/wharf/transport/wharfhttpconn/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 	// minIdlePerEndpoint is how many idle connections a host may always keep to an endpoint, regardless of the number
 	// of hosts.
 	minIdlePerEndpoint = 4
+	// maxRefused is the largest number of requests refused on a connection that is kept.
+	maxRefused = 16
 	// sweepPeriod is the interval between two sweeps for expired idle connections.
 	sweepPeriod = time.Second
 )
@@ -51,11 +54,12 @@
 	p.maxIdle = max(minIdlePerEndpoint, accepted/max(1, hosts))
 }
 
-// Get returns an idle connection or opens one. With nonRepeatable it reuses only a connection that was idle for at most
-// nonRepeatableMaxIdle, since the request must not be sent twice.
-func (p *Pool) Get(ctx context.Context, address netip.AddrPort, nonRepeatable bool) (*Conn, error) {
+// Get returns an idle connection for the request with an ID, or opens one. With nonRepeatable it reuses only a connection
+// that was idle for at most nonRepeatableMaxIdle, since the request must not be sent twice. It does not reuse one on which
+// the endpoint has refused or failed the same request: a second copy of that response would be taken for the next one.
+func (p *Pool) Get(ctx context.Context, address netip.AddrPort, id string, nonRepeatable bool) (*Conn, error) {
 	for {
-		c := p.take(address, nonRepeatable)
+		c := p.take(address, id, nonRepeatable)
 		if c == nil {
 			p.Dialed.Add(1)
 			return dial(ctx, address, dialTimeout)
@@ -80,21 +84,22 @@
 	return nil
 }
 
-func (p *Pool) take(address netip.AddrPort, nonRepeatable bool) *Conn {
+func (p *Pool) take(address netip.AddrPort, id string, nonRepeatable bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.sweep(now)
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if nonRepeatable && now.Sub(c.idleSince) > nonRepeatableMaxIdle {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if nonRepeatable && now.Sub(c.idleSince) > nonRepeatableMaxIdle {
+			return nil
+		}
+		if id == "" || !slices.Contains(c.refused, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // sweep closes idle connections that the endpoints are about to close.
@@ -139,7 +144,7 @@
 // Put returns a connection to the pool after the response was read to its end. It closes a connection that cannot carry
 // another request or exceeds the limit. keepAlive is the idle timeout announced by the endpoint, 0 if none.
 func (p *Pool) Put(c *Conn, response *http.Response, keepAlive time.Duration) {
-	if response.Close || !c.bodyWritten() || c.reader.Buffered() > 0 {
+	if response.Close || len(c.refused) > maxRefused || !c.bodyWritten() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
--- a/wharf/transport/wharfhttpconn/pool_test.go
+++ b/wharf/transport/wharfhttpconn/pool_test.go
@@ -79,7 +79,7 @@
 // exchange sends a request over a connection from the pool and returns the connection.
 func exchange(t *testing.T, p *Pool, address netip.AddrPort) *Conn {
 	t.Helper()
-	c, err := p.Get(context.Background(), address, false)
+	c, err := p.Get(context.Background(), address, "", false)
 	assert.NilError(t, err)
 	assert.NilError(t, c.Send(&Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body")}))
 	response, err := c.Receive("POST", testTimeout, func(*http.Response) bool { return true })
@@ -141,11 +141,11 @@
 	defer p.Close()
 	c := exchange(t, p, endpoint.address)
 	c.idleSince = time.Now().Add(-2 * nonRepeatableMaxIdle)
-	nonRepeatable, err := p.Get(context.Background(), endpoint.address, true)
+	nonRepeatable, err := p.Get(context.Background(), endpoint.address, "", true)
 	assert.NilError(t, err)
 	assert.Assert(t, !nonRepeatable.Reused)
 	nonRepeatable.Close()
-	repeatable, err := p.Get(context.Background(), endpoint.address, false)
+	repeatable, err := p.Get(context.Background(), endpoint.address, "", false)
 	assert.NilError(t, err)
 	assert.Assert(t, repeatable.Reused)
 	repeatable.Close()
@@ -185,7 +185,7 @@
 	assert.NilError(t, err)
 	unreachable := netip.MustParseAddrPort(listener.Addr().String())
 	assert.NilError(t, listener.Close())
-	_, err = NewPool().Get(context.Background(), unreachable, false)
+	_, err = NewPool().Get(context.Background(), unreachable, "", false)
 	assert.ErrorIs(t, err, ErrNotSent)
 }
 
@@ -194,7 +194,7 @@
 	t.Helper()
 	p := NewPool()
 	defer p.Close()
-	c, err := p.Get(context.Background(), address, false)
+	c, err := p.Get(context.Background(), address, "", false)
 	assert.NilError(t, err)
 	defer c.Close()
 	if err := c.Send(&Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}}); err != nil {
@@ -216,7 +216,7 @@
 			})
 			p := NewPool()
 			defer p.Close()
-			c, err := p.Get(context.Background(), endpoint.address, false)
+			c, err := p.Get(context.Background(), endpoint.address, "", false)
 			assert.NilError(t, err)
 			defer c.Close()
 			assert.NilError(t, c.Send(&Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}}))
