A planned stop answers every request that has arrived

Cause: http.Server.Shutdown closes the listener, which resets connections that wait to be accepted, and from then on the server drops each request that it reads, without an answer and without calling a handler. On this kernel a client that writes after the reset reads EOF, which a small program shows.

Drain now waits until the accept queue is empty, closes the listener, and shuts the server down only when no connection has a request. Two lines tell what was left then and how the drain ended. Both daemons used Shutdown and both use Drain.

--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -30,6 +30,7 @@
 	"wagtailwharf.example/wharf/transport/wharfbatchexecutor"
 	"wagtailwharf.example/wharf/transport/wharfendpointclient"
 	"wagtailwharf.example/wharf/transport/wharfgateway"
+	"wagtailwharf.example/wharf/transport/wharfidle"
 	"wagtailwharf.example/wharf/transport/wharfmetrics"
 	"wagtailwharf.example/wharf/transport/wharfoperator"
 	"wagtailwharf.example/wharf/transport/wharfrpc"
@@ -73,6 +74,7 @@
 	gateway          *wharfgateway.Server
 	operators        *wharfoperator.Server
 	callers          *http.Server
+	connections      *wharfidle.Closer // of callers
 	drainRequested   chan struct{}
 	drainOnce        sync.Once
 	draining         chan struct{}
@@ -220,9 +222,10 @@
 		Metrics: d.metrics,
 		Vars:    d.vars,
 	})
+	d.connections = wharfidle.New(func() time.Duration { return callerIdleTimeout })
 	d.callers = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		IdleTimeout: callerIdleTimeout,
+		ConnState: d.connections.Track,
 	}
 }
 
@@ -280,7 +283,7 @@
 	case err := <-done:
 		return trace.Wrap(err)
 	case <-d.drainRequested:
-		d.shutDown(ctx)
+		d.shutDown(ctx, listeners.callers)
 		cancel()
 		<-done
 		return nil
--- a/wagtailwharfd/wharfdaemon/shutdown.go
+++ b/wagtailwharfd/wharfdaemon/shutdown.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wagtailwharfd/wharfservice"
 	"wagtailwharf.example/wharf/state/wharfpause"
 )
 
 // shutDown performs a graceful shutdown: it refuses new requests, waits for the requests in flight and batch items up
 // to the drain limit, then releases the quota shards and the lease.
-func (d *Daemon) shutDown(ctx context.Context) {
+func (d *Daemon) shutDown(ctx context.Context, callers net.Listener) {
 	klog.InfoS("draining host", "host", d.settings.Host)
 	close(d.draining)
 	d.gateway.StartDraining()
@@ -20,7 +23,7 @@
 	defer cancel()
 	batchDrain.Go(func() { d.runner.Drain(drainCtx) })
 	wharfpause.For(ctx, time.Duration(d.settings.Drain.Grace))
-	if err := d.callers.Shutdown(drainCtx); err != nil {
+	if err := wharfservice.Drain(drainCtx, d.callers, callers, d.connections.Counts); err != nil {
 		klog.ErrorS(err, "requests aborted at the drain limit")
 	}
 	batchDrain.Wait()
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -68,6 +68,7 @@
 	frontend       *wharffrontend.Server
 	metrics        *wharfmetrics.Metrics
 	callers        *http.Server
+	connections    *wharfidle.Closer // of callers
 	membership     membership
 	draining       atomic.Bool
 	drainRequested chan struct{}
@@ -167,12 +168,13 @@
 		ReportAnswer:     h.reportAnswer,
 		TryBlocked:       h.tryBlocked,
 	})
+	h.connections = wharfidle.New(h.callerIdleTimeout)
 	h.callers = &http.Server{
 		Handler:           h.frontend,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         wharfidle.New(h.callerIdleTimeout).Track,
+		ConnState:         h.connections.Track,
 	}
 }
 
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -87,7 +87,7 @@
 	case err := <-done:
 		return trace.Wrap(err)
 	case <-h.drainRequested:
-		h.shutDown(ctx)
+		h.shutDown(ctx, l.callers)
 		cancel()
 		<-done
 		klog.InfoS("daemon stopped", "incarnation", h.incarnation)
@@ -175,7 +175,7 @@
 
 // shutDown performs a graceful shutdown: it fails readiness checks, hands over the batch jobs, waits for the requests
 // in flight and removes this host's row.
-func (h *Host) shutDown(ctx context.Context) {
+func (h *Host) shutDown(ctx context.Context, callers net.Listener) {
 	start := time.Now()
 	klog.InfoS("daemon draining", "incarnation", h.incarnation,
 		"running", h.frontend.InFlight(), "batch-running", h.runner.Running())
@@ -189,8 +189,19 @@
 	deadline := start.Add(time.Duration(h.settings.Stop.Limit) - exitMargin)
 	shutdownCtx, cancelShutdown := context.WithDeadline(ctx, deadline.Add(exitMargin/2))
 	defer cancelShutdown()
-	if err := h.callers.Shutdown(shutdownCtx); err != nil {
-		klog.InfoS("requests aborted at the shutdown deadline", "running", h.frontend.InFlight(), "error", err.Error())
+	h.logConnections("daemon stops accepting connections", start, "")
+	reason := "all requests answered"
+	if err := wharfservice.Drain(shutdownCtx, h.callers, callers, h.connections.Counts); err != nil {
+		reason = "requests aborted at the shutdown deadline: " + err.Error()
 	}
+	h.logConnections("daemon drained", start, reason)
 	h.membership.deleteRow(shutdownCtx)
 }
+
+// logConnections logs an event of a planned stop with the requests and callers' connections that are left.
+func (h *Host) logConnections(event string, start time.Time, reason string) {
+	c := h.connections.Counts()
+	klog.InfoS(event, "incarnation", h.incarnation, "reason", reason, "after", time.Since(start).String(),
+		"running", h.frontend.InFlight(), "waiting", h.gate.Waiting(), "connections-accepted", c.Accepted,
+		"connections-new", c.New, "connections-active", c.Active, "connections-idle", c.Idle)
+}
--- a/wagtailwharfd/wharfservice/service.go
+++ b/wagtailwharfd/wharfservice/service.go
@@ -5,10 +5,16 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/state/wharfpause"
+	"wagtailwharf.example/wharf/transport/wharfidle"
 )
 
 // Service is a named part of a daemon that runs until its context is done.
@@ -47,13 +53,68 @@
 }
 
 // ServeHTTP serves listener until ctx is done, which aborts requests in flight, or until the server is shut down. After
-// either, it returns suture.ErrDoNotRestart.
+// either, or once the listener is closed, it returns suture.ErrDoNotRestart.
 func ServeHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return suture.ErrDoNotRestart
 	}
 	return trace.Wrap(err)
 }
+
+const (
+	// maxAcceptWait bounds the wait for the accept queue: callers that go on connecting may never leave it empty.
+	maxAcceptWait = 500 * time.Millisecond
+	// newConnectionWait is how long a caller that has connected may take to send its request after the listener is closed.
+	newConnectionWait = time.Second
+	pollPause         = 5 * time.Millisecond
+)
+
+// Drain ends a server without cutting off a request that has reached it: it accepts the connections that the kernel has set
+// up, closes the listener, and shuts the server down once no connection has a request. Until then the server goes on
+// reading: after http.Server.Shutdown has begun, it drops each request that it reads, without an answer. It returns an error
+// if ctx ends before.
+func Drain(ctx context.Context, server *http.Server, listener net.Listener, counts func() wharfidle.Counts) error {
+	awaitAccepted(ctx, listener)
+	if err := listener.Close(); err != nil {
+		klog.InfoS("failed to close the listener", "error", err.Error())
+	}
+	for closed := time.Now(); wharfpause.For(ctx, pollPause); {
+		c := counts()
+		if c.Active == 0 && (c.New == 0 || time.Since(closed) > newConnectionWait) {
+			break
+		}
+	}
+	return server.Shutdown(ctx)
+}
+
+// awaitAccepted waits until the server has accepted the connections that the kernel has set up: closing the listener resets
+// the others.
+func awaitAccepted(ctx context.Context, listener net.Listener) {
+	tcp, ok := listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		klog.InfoS("failed to see whether connections wait to be accepted", "error", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxAcceptWait)
+	defer cancel()
+	for ready := 1; ready > 0 && wharfpause.For(ctx, pollPause); {
+		var polled error
+		err := raw.Control(func(fd uintptr) {
+			ready, polled = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		})
+		if errors.Is(polled, unix.EINTR) {
+			ready, polled = 1, nil
+		}
+		if err := errors.Join(err, polled); err != nil {
+			klog.InfoS("failed to see whether connections wait to be accepted", "error", err.Error())
+			return
+		}
+	}
+}
