Take-ups: refusals name a time to come back; versions linger for ten minutes

A stream whose version has no endpoint may go on when one is back, so its refusal bears a Retry-After like the others. Versions without endpoints keep their rows for 10 minutes and records are kept for one, so that longer streams and cuts are covered. Only streaming routes have take-ups. A store that does not answer is logged once.

--- a/wharf/coordination/wharfreleases/releases.go
+++ b/wharf/coordination/wharfreleases/releases.go
@@ -31,9 +31,9 @@
 	// settleTime is the time after a version was added in which no host begins a stream at it. Streams that began at the only
 	// version before, of which there are no records, have ended by then.
 	settleTime = 1500 * time.Millisecond
-	// lingerTime is how long a version without endpoints keeps its row: many times as long as a stream or a host's idea of
-	// the endpoints lives.
-	lingerTime  = 2 * time.Minute
+	// lingerTime is how long a version without endpoints keeps its row: longer than any stream lives, and longer than hosts
+	// that are cut off from the store usually go on with what they know of the endpoints.
+	lingerTime  = 10 * time.Minute
 	callTimeout = time.Second
 )
 
@@ -239,7 +239,9 @@
 		wait := readInterval
 		err := r.sync(ctx)
 		if err != nil && ctx.Err() == nil {
-			klog.InfoS("failed to read or write the versions of services", "error", err.Error())
+			if backoff == retryInterval {
+				klog.InfoS("failed to read or write the versions of services; trying again", "error", err.Error())
+			}
 			wait, backoff = backoff/2+rand.N(backoff), min(2*backoff, maxRetryInterval)
 		} else {
 			backoff = retryInterval
--- a/wharf/coordination/wharfstreams/streams.go
+++ b/wharf/coordination/wharfstreams/streams.go
@@ -37,7 +37,7 @@
 	// lookupTimeout bounds the lookup of a stream: many times as long as the store takes.
 	lookupTimeout = 400 * time.Millisecond
 	// retention is how long a record is kept: several times as long as callers wait for a stream.
-	retention = 30 * time.Second
+	retention = time.Minute
 	// sweepInterval is the time between two sweeps for old records.
 	sweepInterval = 15 * time.Second
 )
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -67,7 +67,7 @@
 			return o.refuseBlocked(verdict)
 		}
 	}
-	if q.continues() && q.route.Kind == wharfroute.Streaming {
+	if q.continues() {
 		if err := o.findOrigin(ctx); err != nil {
 			return err
 		}
@@ -86,7 +86,7 @@
 		return o.withRetryAfter(errVersionUnknown)
 	}
 	if !o.route.HasTarget(origin.Service) {
-		return errVersionGone
+		return o.withRetryAfter(errVersionGone)
 	}
 	o.service, o.version = origin.Service, origin.Version
 	return nil
@@ -179,7 +179,7 @@
 	case ctx.Err() != nil:
 		return o.refuseExpired(ctx)
 	case errors.Is(err, wharfpick.ErrNoEndpoint) && o.version != "":
-		return errVersionGone
+		return o.withRetryAfter(errVersionGone)
 	case errors.Is(err, wharfpick.ErrNoEndpoint):
 		return o.withRetryAfter(errNoEndpoint)
 	}
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -325,7 +325,7 @@
 
 // continues reports whether the caller takes up a stream of which it has events.
 func (q *request) continues() bool {
-	return q.call.Resumes && q.call.LastEvent > 0
+	return q.call.Resumes && q.call.LastEvent > 0 && q.route != nil && q.route.Kind == wharfroute.Streaming
 }
 
 // logFields returns the fields of a log line that say which request it is about, followed by others.
