Soak: endpoints of two versions, and callers that take up broken streams

A caller whose stream broke off asks another host to go on. Checked from what the endpoints ran: every run that goes on is at the version of the run before, refused take-ups have not run, and the rest of the stream is whole.

--- a/wharf-load/wharfseries/series.go
+++ b/wharf-load/wharfseries/series.go
@@ -155,8 +155,8 @@
 	if err != nil {
 		verdict = "FAILED"
 	}
-	r.print("seed %d %s after %v: %d requests, %d served, %d refused, after recovery %s served, %d jobs, %d faults", seed, verdict,
-		result.Duration.Round(time.Second), result.Requests, result.Served, result.Refused, result.Recovered,
+	r.print("seed %d %s after %v: %d requests, %d served, %d refused, %s streams taken up went on, after recovery %s served, %d jobs, %d faults", seed, verdict,
+		result.Duration.Round(time.Second), result.Requests, result.Served, result.Refused, result.TakenUp, result.Recovered,
 		result.Jobs, len(result.Faults))
 	if p.cause != "" {
 		r.print("  failed before: %s", p.cause)
--- a/wharf-load/wharfsoak/check.go
+++ b/wharf-load/wharfsoak/check.go
@@ -64,6 +64,9 @@
 		t.checkResponse(r, runs[r.id])
 		t.checkAuthentication(r)
 	}
+	for _, a := range t.takeUps {
+		t.checkTakeUp(&a, runs)
+	}
 	for _, j := range t.jobs {
 		t.checkJob(j, runs)
 	}
@@ -156,6 +159,35 @@
 	}
 }
 
+// checkTakeUp checks that a stream went on after the last event that its caller had, at the version that began it, or was
+// refused without having run.
+func (t *traffic) checkTakeUp(a *takeUp, runs map[string][]wharfstandin.Run) {
+	begun, continued := runsInOrder(runs[a.stream.id]), runsInOrder(runs[a.id])
+	status := a.response.Status
+	if guaranteesNotRun(status) && len(continued) > 0 {
+		t.system.findings.add("%s refused as not run with status %d, but was executed", a.id, status)
+	}
+	all := slices.Concat(begun, continued)
+	for i, run := range all {
+		if run.LastEvent > 0 && (i == 0 || run.Version != all[i-1].Version) {
+			t.system.findings.add("%s goes on after event %d at version %s, which did not begin it", a.stream.id,
+				run.LastEvent, run.Version)
+		}
+	}
+	if status != http.StatusOK || a.response.Err != nil {
+		return
+	}
+	want := strings.TrimPrefix(wharfstandin.StreamBody(a.id, responseEvents), wharfstandin.StreamBody(a.id, a.lastEvent))
+	if a.response.Body != want {
+		t.system.findings.add("%s went on after event %d with %q", a.id, a.lastEvent, a.response.Body)
+	}
+	t.continued++
+}
+
+func runsInOrder(runs []wharfstandin.Run) []wharfstandin.Run {
+	return slices.SortedFunc(slices.Values(runs), func(a, b wharfstandin.Run) int { return a.At.Compare(b.At) })
+}
+
 // checkAuthentication checks that valid API keys are accepted, and that unknown and revoked ones are refused.
 func (t *traffic) checkAuthentication(r *request) {
 	switch {
--- a/wharf-load/wharfsoak/soak.go
+++ b/wharf-load/wharfsoak/soak.go
@@ -51,8 +51,10 @@
 	Jobs     int
 	// Recovered is how many of the requests after the recovery of all hosts were served, such as "99 of 100".
 	Recovered string
-	Faults    []string // in order of start time
-	Findings  []string // violated guarantees
+	// TakenUp is how many of the streams that callers took up went on to their end, such as "9 of 10".
+	TakenUp  string
+	Faults   []string // in order of start time
+	Findings []string // violated guarantees
 }
 
 // Run executes the run of one seed. The error wraps ErrViolation if a guarantee was violated; the result is nil if the
@@ -92,6 +94,7 @@
 	r := &Result{
 		Seed: t.system.options.Seed, Duration: duration, Requests: len(t.requests), Jobs: len(t.jobs),
 		Recovered: t.recovered.String(), Findings: t.system.findings.list(),
+		TakenUp: fmt.Sprintf("%d of %d", t.continued, len(t.takeUps)),
 	}
 	for _, request := range t.requests {
 		switch {
--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -156,7 +156,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	id := fmt.Sprintf("e%d-%d", index, len(e.instances)+1)
-	instance, err := wharfstandin.StartEndpoint(s.store, id, service, zoneOf(index), slots)
+	version := versions[(index+len(e.instances))%len(versions)]
+	instance, err := wharfstandin.StartEndpointOfVersion(s.store, id, service, zoneOf(index), version, slots)
 	if err != nil {
 		return err
 	}
@@ -167,6 +168,9 @@
 	return instance.Advertise(e.proxy.Address().String())
 }
 
+// versions are those of the endpoints' software. An endpoint that starts again has the next one.
+var versions = []string{"v1", "v2"}
+
 func zoneOf(index int) string {
 	return fmt.Sprint("zone-", index%zones)
 }
--- a/wharf-load/wharfsoak/traffic.go
+++ b/wharf-load/wharfsoak/traffic.go
@@ -32,6 +32,8 @@
 	// recovered counts the requests that were sent after all hosts had recovered.
 	recovered servedShare
 	lastID    atomic.Int64
+	takeUps   []takeUp
+	continued int // take-ups that went on to the end of the stream
 }
 
 // request is a request and its response.
@@ -91,9 +93,30 @@
 				requestBody)
 			r.endedAt = time.Now()
 			t.mu.Lock()
-			defer t.mu.Unlock()
 			t.requests = append(t.requests, r)
+			t.mu.Unlock()
+			if last := wharfstandin.LastEvent(r.response.Body); r.response.Err != nil && last > 0 && route != "once" {
+				t.takeUpStream(requestCtx, caller, r, last)
+			}
 		})
 	}
 	running.Wait()
 }
+
+// takeUp is an attempt to continue a stream that broke off.
+type takeUp struct {
+	id        string
+	stream    *request
+	lastEvent int
+	response  wharfstandin.Response
+}
+
+// takeUpStream asks another host to continue a stream after the last event that arrived.
+func (t *traffic) takeUpStream(ctx context.Context, caller *wharfstandin.Caller, r *request, last int) {
+	a := takeUp{id: fmt.Sprintf("again-%s", r.id), stream: r, lastEvent: last}
+	to := t.system.hosts[t.randomInt(len(t.system.hosts))]
+	a.response = caller.TakeUp(ctx, to.callerAddress, "/"+r.route+"/"+a.id, a.id, r.id, last)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.takeUps = append(t.takeUps, a)
+}
