--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -205,5 +205,25 @@
 	's/now\.Sub\(since\) >= statusDelay/true/' ./wharf/coordination/wharfjobrunner 'TestOutageOfTheStoreForAll|TestJobsOfHostRestartedInAnOutage'
 mutant owner-without-store-keeps-jobs wharf/coordination/wharfjobrunner/adopt.go \
 	's/return "owner can.t reach the store"/return ""/' ./wharf/coordination/wharfjobrunner TestJobsOfHostThatCanNotReach
+mutant any-version-continues wharf/state/wharffleet/pick.go \
+	's/sel\.Version != "" && e\.Version != sel\.Version \|\| //' $host TestStreamResumedWithinOneAnswer
+mutant items-at-any-version wharf/coordination/wharfjobrunner/start.go \
+	's/Version: origin\.Version, Batch: true/Batch: true/; s/i\.events > 0 && placement\.Endpoint\.Version != i\.origin\.Version/false/' $host TestBatchItemStaysAtTheVersion
+mutant streams-not-recorded wharf/coordination/wharfstreams/streams.go \
+	's/if len\(route\.Targets\) == 1 && !s\.options\.Releases\.Several\(origin\.Service\) \{/if len(route.Targets) > 0 {/' $host TestStreamTakenUpAfterAllHosts
+mutant one-of-several-versions-guessed wharf/coordination/wharfreleases/releases.go \
+	's/case only != "":\s+return "", ErrNotKnown//' ./wharf/coordination/wharfstreams TestOriginIsKnownOrRefused
+mutant versions-without-rows-admitted wharf/coordination/wharfreleases/releases.go \
+	's/return known && !now\.Before\(at\)/return !known || !now.Before(at)/' ./wharf/coordination/wharfreleases TestStreamsBeginOnly
+mutant take-ups-not-first wharf/coordination/wharfgate/gate.go \
+	's/if request\.Continues \{/if false {/' ./wharf/coordination/wharfgate TestStreamsTakenUpGoFirst
+mutant take-ups-do-not-overdraw wharf/coordination/wharflimiter/limiter.go \
+	's/a\.Continues && b\.share/false \&\& b.share/' ./wharf/coordination/wharflimiter TestStreamsTakenUpOverdraw
+mutant refused-requests-not-noted wharf/transport/wharfforwarder/forwarder.go \
+	's/conn\.NoteRefused\(a\.Call\.ID\)//' ./wharf/transport/wharfforwarder TestEarlierRefusal
+mutant any-number-of-slots platform/wharfcatalog/catalog.go \
+	's/ \|\| r\.Slots > maxSlots//' $host TestOddEntries
+mutant stop-drops-what-it-reads wagtailwharfd/wharfservice/service.go \
+	's/if c\.Active == 0 && .*? \{/if c.Active < 100 {/' ./wagtailwharfd/wharfservice TestRequestsThatHaveArrived
 
 exit $failed
