--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -224,6 +224,6 @@
 mutant any-number-of-slots platform/wharfcatalog/catalog.go \
 	's/ \|\| r\.Slots > maxSlots//' $host TestOddEntries
 mutant stop-drops-what-it-reads wagtailwharfd/wharfservice/service.go \
-	's/if c\.Active == 0 && .*? \{/if c.Active < 100 {/' ./wagtailwharfd/wharfservice TestRequestsThatHaveArrived
+	's/c\.Active == 0 && \(c\.New == 0 \|\|/c.Active < 100 \&\& (true ||/' ./wagtailwharfd/wharfservice TestRequestsThatHaveArrived
 
 exit $failed
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -104,23 +104,31 @@
 		if e.repeat != "" && answered > 0 {
 			parts = append([]string{e.repeat}, parts...)
 		}
-		for _, part := range parts {
-			switch part {
-			case "early":
-			case "close":
-				return
-			case "reset":
-				_ = conn.SetLinger(0)
-				return
-			case "silence":
-				time.Sleep(time.Second)
-			default:
-				if _, err := io.WriteString(conn, part); err != nil {
-					return
-				}
+		if !writeParts(conn, parts) {
+			return
+		}
+	}
+}
+
+// writeParts writes the parts of a response and reports whether the connection goes on.
+func writeParts(conn *net.TCPConn, parts []string) bool {
+	for _, part := range parts {
+		switch part {
+		case "early":
+		case "close":
+			return false
+		case "reset":
+			_ = conn.SetLinger(0)
+			return false
+		case "silence":
+			time.Sleep(time.Second)
+		default:
+			if _, err := io.WriteString(conn, part); err != nil {
+				return false
 			}
 		}
 	}
+	return true
 }
 
 func head(id, rest string) string {
