--- a/wagtailwharfd/wharfservice/service_test.go
+++ b/wagtailwharfd/wharfservice/service_test.go
@@ -33,10 +33,11 @@
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = ServeHTTP(t.Context(), server, listener) })
 	var callers sync.WaitGroup
-	for range 20 {
+	for i := range 20 {
 		callers.Go(func() {
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			assert.Check(t, err == nil, "%v", err)
+			time.Sleep(time.Duration(i%2) * 600 * time.Millisecond) // half of the requests arrive after the listener is closed
 			_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
 			assert.Check(t, err == nil, "%v", err)
 			data, err := io.ReadAll(conn)
