Soak: the version that began a stream is that of the endpoint that its response names

The check took the order of runs for the order of events. The first response names its endpoint, so the check compares with that run, for streams that go on within one answer as well.

--- a/wharf-load/wharfsoak/check.go
+++ b/wharf-load/wharfsoak/check.go
@@ -63,6 +63,7 @@
 		t.checkRuns(r, runs[r.id])
 		t.checkResponse(r, runs[r.id])
 		t.checkAuthentication(r)
+		t.checkVersions(r, runs[r.id], runs[r.id])
 	}
 	for _, a := range t.takeUps {
 		t.checkTakeUp(&a, runs)
@@ -159,21 +160,26 @@
 	}
 }
 
-// checkTakeUp checks that a stream went on after the last event that its caller had, at the version that began it, or was
-// refused without having run.
+// checkVersions checks that a stream went on only at the version of the endpoint that the first response names. begun are
+// the executions of its first attempt.
+func (t *traffic) checkVersions(r *request, begun, runs []wharfstandin.Run) {
+	first := slices.IndexFunc(begun, func(run wharfstandin.Run) bool { return run.Endpoint == r.response.Endpoint })
+	for _, run := range runs {
+		if run.LastEvent > 0 && r.response.Status == http.StatusOK && (first < 0 || run.Version != begun[first].Version) {
+			t.system.findings.add("%s, begun at %q, goes on after event %d at %s of version %s", r.id, r.response.Endpoint,
+				run.LastEvent, run.Endpoint, run.Version)
+		}
+	}
+}
+
+// checkTakeUp checks that a stream that a caller took up went on after the last event that the caller had, at the version
+// that began it, or was refused without having run.
 func (t *traffic) checkTakeUp(a *takeUp, runs map[string][]wharfstandin.Run) {
-	begun, continued := runsInOrder(runs[a.stream.id]), runsInOrder(runs[a.id])
 	status := a.response.Status
-	if guaranteesNotRun(status) && len(continued) > 0 {
+	if guaranteesNotRun(status) && len(runs[a.id]) > 0 {
 		t.system.findings.add("%s refused as not run with status %d, but was executed", a.id, status)
 	}
-	all := slices.Concat(begun, continued)
-	for i, run := range all {
-		if run.LastEvent > 0 && (i == 0 || run.Version != all[i-1].Version) {
-			t.system.findings.add("%s goes on after event %d at version %s, which did not begin it", a.stream.id,
-				run.LastEvent, run.Version)
-		}
-	}
+	t.checkVersions(a.stream, runs[a.stream.id], runs[a.id])
 	if status != http.StatusOK || a.response.Err != nil {
 		return
 	}
@@ -184,10 +190,6 @@
 	t.continued++
 }
 
-func runsInOrder(runs []wharfstandin.Run) []wharfstandin.Run {
-	return slices.SortedFunc(slices.Values(runs), func(a, b wharfstandin.Run) int { return a.At.Compare(b.At) })
-}
-
 // checkAuthentication checks that valid API keys are accepted, and that unknown and revoked ones are refused.
 func (t *traffic) checkAuthentication(r *request) {
 	switch {
