--- a/wharf-load/wharfsoak/check.go
+++ b/wharf-load/wharfsoak/check.go
@@ -1,10 +1,12 @@
 package wharfsoak
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"wagtailwharf.example/platform/wharfstandin"
@@ -154,7 +156,9 @@
 	if r.response.Err == nil || t.system.endpointFaulty(from, r.endedAt) {
 		return
 	}
-	closeRace := len(runs) == 0 && r.endedAt.Sub(r.startedAt) <= closeRaceWindow
+	// A connection that is refused has brought no request to the host, however late a busy soak sees that.
+	refused := errors.Is(r.response.Err, syscall.ECONNREFUSED)
+	closeRace := len(runs) == 0 && (refused || r.endedAt.Sub(r.startedAt) <= closeRaceWindow)
 	if !r.host.plannedStops.overlaps(from, r.endedAt) || !closeRace {
 		t.reportRequest(r, runs, "response was incomplete without any fault")
 	}
