Names a newcomer would stumble over; a test that read from a host still joining

wharfstreams was also the package of the command line's input and output streams: it is wharforigins, with Record and Find. Fleet.RestrictNewRequests says what it does. No behaviour changes.

The test now waits until all hosts are ready and checks the same.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -209,10 +209,10 @@
 	's/sel\.Version != "" && e\.Version != sel\.Version \|\| //' $host TestStreamResumedWithinOneAnswer
 mutant items-at-any-version wharf/coordination/wharfjobrunner/start.go \
 	's/Version: origin\.Version, Batch: true/Batch: true/; s/i\.events > 0 && placement\.Endpoint\.Version != i\.origin\.Version/false/' $host TestBatchItemStaysAtTheVersion
-mutant streams-not-recorded wharf/coordination/wharfstreams/streams.go \
-	's/if len\(route\.Targets\) == 1 && !s\.options\.Releases\.Several\(origin\.Service\) \{/if len(route.Targets) > 0 {/' $host TestStreamTakenUpAfterAllHosts
+mutant streams-not-recorded wharf/coordination/wharforigins/origins.go \
+	's/if len\(route\.Targets\) == 1 && !o\.options\.Releases\.Several\(origin\.Service\) \{/if len(route.Targets) > 0 {/' $host TestStreamTakenUpAfterAllHosts
 mutant one-of-several-versions-guessed wharf/coordination/wharfreleases/releases.go \
-	's/case only != "":\s+return "", ErrNotKnown//' ./wharf/coordination/wharfstreams TestOriginIsKnownOrRefused
+	's/case only != "":\s+return "", ErrNotKnown//' ./wharf/coordination/wharforigins TestOriginIsKnownOrRefused
 mutant versions-without-rows-admitted wharf/coordination/wharfreleases/releases.go \
 	's/return known && !now\.Before\(at\)/return !known || !now.Before(at)/' ./wharf/coordination/wharfreleases TestStreamsBeginOnly
 mutant take-ups-not-first wharf/coordination/wharfgate/gate.go \
--- a/wagtailwharfd/wharfdaemon/jobs_test.go
+++ b/wagtailwharfd/wharfdaemon/jobs_test.go
@@ -149,6 +149,7 @@
 	})
 	c.platform.SetFaults(wharfplatform.Faults{})
 	assert.Equal(t, finished.Counts.Completed, count)
+	c.awaitReady() // the last host to be restarted may not have joined yet
 	c.checkResults(c.nodes[3], key, "job", finished, count, tokens)
 }
 
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -23,9 +23,9 @@
 	"wagtailwharf.example/wharf/coordination/wharfjobstore"
 	"wagtailwharf.example/wharf/coordination/wharflimiter"
 	"wagtailwharf.example/wharf/coordination/wharfmonotone"
+	"wagtailwharf.example/wharf/coordination/wharforigins"
 	"wagtailwharf.example/wharf/coordination/wharfrelay"
 	"wagtailwharf.example/wharf/coordination/wharfreleases"
-	"wagtailwharf.example/wharf/coordination/wharfstreams"
 	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
 	"wagtailwharf.example/wharf/protocol/wharfhostsettings"
 	"wagtailwharf.example/wharf/state/wharfcrash"
@@ -56,7 +56,7 @@
 	limiter        *wharflimiter.Limiter
 	fleet          *wharffleet.Fleet
 	releases       *wharfreleases.Releases
-	streams        *wharfstreams.Streams
+	origins        *wharforigins.Origins
 	gate           *wharfgate.Gate[*wharffleet.Placement]
 	allocator      *wharfallocator.Allocator
 	crashes        *wharfcrash.Tracker
@@ -102,8 +102,8 @@
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.NotifyChange() })
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
 	h.releases = wharfreleases.New(wharfreleases.Options{Store: h.store, Host: settings.Host, Live: h.liveHosts})
-	h.fleet.BeginOnlyWhere(h.releases.Admits)
-	h.streams = wharfstreams.New(wharfstreams.Options{
+	h.fleet.RestrictNewRequests(h.releases.Admits)
+	h.origins = wharforigins.New(wharforigins.Options{
 		Store: h.store, Releases: h.releases, Host: settings.Host, Live: h.liveHosts, Count: h.metrics.Count,
 	})
 	h.gossip = wharfgossip.New(wharfgossip.Options{
@@ -160,7 +160,7 @@
 		Gate:             h.gate,
 		Allocator:        h.allocator,
 		Forwarder:        forwarder,
-		Streams:          h.streams,
+		Origins:          h.origins,
 		Crashes:          h.crashes,
 		Jobs:             h.jobs,
 		Metrics:          h.metrics,
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -112,7 +112,7 @@
 		{Name: "members", Run: h.membership.run},
 		{Name: "relay", Run: h.relay.Serve},
 		{Name: "releases", Run: h.releases.Serve},
-		{Name: "streams", Run: h.streams.Serve},
+		{Name: "origins", Run: h.origins.Serve},
 		{Name: "limiter", Run: h.limiter.Serve},
 		{Name: "blocklist", Run: h.blocklist.Serve},
 		{Name: "crashes", Run: h.settleCrashes},
--- a/wharf/coordination/wharfstreams/streams.go
+++ b/wharf/coordination/wharforigins/origins.go
@@ -1,4 +1,4 @@
-package wharfstreams
+package wharforigins
 
 import (
 	"context"
@@ -42,7 +42,7 @@
 	sweepInterval = 15 * time.Second
 )
 
-// Options are the dependencies of Streams.
+// Options are the dependencies of Origins.
 type Options struct {
 	Store    wharfrecords.Store
 	Releases *wharfreleases.Releases
@@ -51,8 +51,8 @@
 	Count    func(name string)
 }
 
-// Streams records where streams began. It is safe for concurrent use.
-type Streams struct {
+// Origins records where streams began. It is safe for concurrent use.
+type Origins struct {
 	options   Options
 	mu        sync.Mutex
 	suspended time.Time // until when no event is held back
@@ -61,7 +61,7 @@
 
 // part is the state of one part of the table.
 type part struct {
-	pending  []record // guarded by Streams.mu
+	pending  []record // guarded by Origins.mu
 	wake     chan struct{}
 	sweeps   []sweep // recent reads of the part, oldest first; used by the sweeper alone
 	occupied bool    // the last sweep found records that are too new to be removed
@@ -79,13 +79,13 @@
 	version uint64
 }
 
-// New returns Streams without records to write.
-func New(options Options) *Streams {
-	s := &Streams{options: options}
-	for i := range s.parts {
-		s.parts[i].wake = make(chan struct{}, 1)
+// New returns Origins without records to write.
+func New(options Options) *Origins {
+	o := &Origins{options: options}
+	for i := range o.parts {
+		o.parts[i].wake = make(chan struct{}, 1)
 	}
-	return s
+	return o
 }
 
 // keyOf returns the key and the part of a stream's record. ok is false if there can be none.
@@ -101,20 +101,20 @@
 	return string(rune('a' + index))
 }
 
-// Begin records the origin of a stream whose first event has arrived, if a take-up could not tell it otherwise. It returns
+// Record records the origin of a stream whose first event has arrived, if a take-up could not tell it otherwise. It returns
 // when the record is stored, or after recordWait.
-func (s *Streams) Begin(organisation, stream string, route *wharfroute.Route, origin wharfcall.Origin) {
-	if len(route.Targets) == 1 && !s.options.Releases.Several(origin.Service) {
+func (o *Origins) Record(organisation, stream string, route *wharfroute.Route, origin wharfcall.Origin) {
+	if len(route.Targets) == 1 && !o.options.Releases.Several(origin.Service) {
 		return
 	}
-	stored := s.enqueue(organisation, stream, origin)
+	stored := o.enqueue(organisation, stream, origin)
 	if stored == nil {
-		s.options.Count("stream-records-dropped")
+		o.options.Count("stream-records-dropped")
 		return
 	}
-	s.mu.Lock()
-	suspended := time.Now().Before(s.suspended)
-	s.mu.Unlock()
+	o.mu.Lock()
+	suspended := time.Now().Before(o.suspended)
+	o.mu.Unlock()
 	if suspended {
 		return
 	}
@@ -123,15 +123,15 @@
 	select {
 	case <-stored:
 	case <-timeout.C:
-		s.options.Count("stream-records-late")
-		s.mu.Lock()
-		s.suspended = time.Now().Add(suspension)
-		s.mu.Unlock()
+		o.options.Count("stream-records-late")
+		o.mu.Lock()
+		o.suspended = time.Now().Add(suspension)
+		o.mu.Unlock()
 	}
 }
 
 // enqueue has a record written and returns a channel that is closed when it is stored, or nil if it is not written.
-func (s *Streams) enqueue(organisation, stream string, origin wharfcall.Origin) <-chan struct{} {
+func (o *Origins) enqueue(organisation, stream string, origin wharfcall.Origin) <-chan struct{} {
 	key, index, ok := keyOf(organisation, stream)
 	if !ok {
 		return nil
@@ -142,9 +142,9 @@
 		return nil
 	}
 	stored := make(chan struct{})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := &s.parts[index]
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := &o.parts[index]
 	if len(p.pending) >= maxPending {
 		return nil
 	}
@@ -158,37 +158,37 @@
 	return stored
 }
 
-// Origin returns the service and version that began a stream which a caller takes up, as the store knows after the call. It
+// Find returns the service and version that began a stream which a caller takes up, as the store knows after the call. It
 // returns an error that wraps wharfreleases.ErrNotKnown if the store does not tell.
-func (s *Streams) Origin(
+func (o *Origins) Find(
 	ctx context.Context, organisation, stream string, route *wharfroute.Route,
 ) (wharfcall.Origin, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	if len(route.Targets) != 1 {
-		return s.lookUp(ctx, organisation, stream)
+		return o.lookUp(ctx, organisation, stream)
 	}
 	service := route.Targets[0].Service
-	if s.options.Releases.Several(service) {
-		if origin, err := s.lookUp(ctx, organisation, stream); err == nil {
+	if o.options.Releases.Several(service) {
+		if origin, err := o.lookUp(ctx, organisation, stream); err == nil {
 			return origin, nil
 		}
-		version, err := s.options.Releases.Only(ctx, service)
+		version, err := o.options.Releases.Only(ctx, service)
 		return wharfcall.Origin{Service: service, Version: version}, err
 	}
-	if version, err := s.options.Releases.Only(ctx, service); err == nil {
+	if version, err := o.options.Releases.Only(ctx, service); err == nil {
 		return wharfcall.Origin{Service: service, Version: version}, nil
 	}
-	return s.lookUp(ctx, organisation, stream)
+	return o.lookUp(ctx, organisation, stream)
 }
 
 // lookUp reads a stream's record.
-func (s *Streams) lookUp(ctx context.Context, organisation, stream string) (wharfcall.Origin, error) {
+func (o *Origins) lookUp(ctx context.Context, organisation, stream string) (wharfcall.Origin, error) {
 	key, index, ok := keyOf(organisation, stream)
 	if !ok {
 		return wharfcall.Origin{}, wharfreleases.ErrNotKnown
 	}
-	page, err := s.options.Store.Read(ctx, wharfrecords.Range{
+	page, err := o.options.Store.Read(ctx, wharfrecords.Range{
 		Table: table, Part: partName(index), From: key, To: key + "\x00", Limit: 1,
 	})
 	var origin wharfcall.Origin
@@ -199,35 +199,35 @@
 }
 
 // Serve writes records and removes old ones until ctx is done.
-func (s *Streams) Serve(ctx context.Context) error {
+func (o *Origins) Serve(ctx context.Context) error {
 	var writers sync.WaitGroup
-	for i := range s.parts {
-		writers.Go(func() { s.writePart(ctx, &s.parts[i]) })
+	for i := range o.parts {
+		writers.Go(func() { o.writePart(ctx, &o.parts[i]) })
 	}
 	for wharfpause.For(ctx, sweepInterval/2+rand.N(sweepInterval)) {
-		s.sweepAll(ctx)
+		o.sweepAll(ctx)
 	}
 	writers.Wait()
 	return ctx.Err()
 }
 
 // writePart writes the records of one part, one transaction after another, so that records that come meanwhile share one.
-func (s *Streams) writePart(ctx context.Context, p *part) {
+func (o *Origins) writePart(ctx context.Context, p *part) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.wake:
 		}
-		for batch := s.takeBatch(p); len(batch) > 0; batch = s.takeBatch(p) {
-			s.write(ctx, batch)
+		for batch := o.takeBatch(p); len(batch) > 0; batch = o.takeBatch(p) {
+			o.write(ctx, batch)
 		}
 	}
 }
 
-func (s *Streams) takeBatch(p *part) []record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (o *Origins) takeBatch(p *part) []record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	size := min(len(p.pending), maxRowsPerWrite)
 	batch := p.pending[:size:size]
 	p.pending = p.pending[size:]
@@ -236,15 +236,15 @@
 
 // write stores records. One that can't be stored is not tried again: its stream lives for a second or so, and is refused if
 // it is taken up.
-func (s *Streams) write(ctx context.Context, batch []record) {
+func (o *Origins) write(ctx context.Context, batch []record) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	t := wharfrecords.Transaction{Part: batch[0].row.Part}
 	for _, r := range batch {
 		t.Puts = append(t.Puts, r.row)
 	}
-	if _, err := s.options.Store.Commit(ctx, t); err != nil {
-		s.options.Count("stream-records-failed")
+	if _, err := o.options.Store.Commit(ctx, t); err != nil {
+		o.options.Count("stream-records-failed")
 		klog.V(1).InfoS("failed to record where streams began", "records", len(batch), "error", err.Error())
 		return
 	}
@@ -254,25 +254,25 @@
 }
 
 // sweepAll removes the old records of the parts for which this host ranks first, while there may be any.
-func (s *Streams) sweepAll(ctx context.Context) {
-	live := s.options.Live()
-	mixed := s.options.Releases.Mixed()
-	for i := range s.parts {
-		p := &s.parts[i]
-		if wharfrank.First(table+partName(i), live) != s.options.Host || !mixed && !p.occupied && len(p.sweeps) > 0 {
+func (o *Origins) sweepAll(ctx context.Context) {
+	live := o.options.Live()
+	mixed := o.options.Releases.Mixed()
+	for i := range o.parts {
+		p := &o.parts[i]
+		if wharfrank.First(table+partName(i), live) != o.options.Host || !mixed && !p.occupied && len(p.sweeps) > 0 {
 			continue
 		}
-		if err := s.sweepPart(ctx, p, partName(i)); err != nil && ctx.Err() == nil {
+		if err := o.sweepPart(ctx, p, partName(i)); err != nil && ctx.Err() == nil {
 			klog.InfoS("failed to remove old records of streams", "part", partName(i), "error", err.Error())
 		}
 	}
 }
 
 // sweepPart removes the records that were there retention ago.
-func (s *Streams) sweepPart(ctx context.Context, p *part, name string) error {
+func (o *Origins) sweepPart(ctx context.Context, p *part, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	page, err := wharfrecords.ReadAll(ctx, s.options.Store, wharfrecords.Range{Table: table, Part: name})
+	page, err := wharfrecords.ReadAll(ctx, o.options.Store, wharfrecords.Range{Table: table, Part: name})
 	if err != nil {
 		return err
 	}
@@ -293,7 +293,7 @@
 	p.occupied = len(expired) < len(page.Rows)
 	for len(expired) > 0 {
 		size := min(len(expired), maxRowsPerWrite)
-		if _, err := s.options.Store.Commit(ctx, wharfrecords.Transaction{Part: name, Deletes: expired[:size]}); err != nil {
+		if _, err := o.options.Store.Commit(ctx, wharfrecords.Transaction{Part: name, Deletes: expired[:size]}); err != nil {
 			p.occupied = true
 			return err
 		}
--- a/wharf/coordination/wharfstreams/streams_test.go
+++ b/wharf/coordination/wharforigins/origins_test.go
@@ -1,4 +1,4 @@
-package wharfstreams
+package wharforigins
 
 import (
 	"context"
@@ -25,22 +25,22 @@
 )
 
 // run starts a host whose service has endpoints of the given versions.
-func run(t *testing.T, versions []string, body func(t *testing.T, store *wharfmemorystore.Store, s *Streams, counts map[string]int)) {
+func run(t *testing.T, versions []string, body func(t *testing.T, store *wharfmemorystore.Store, o *Origins, counts map[string]int)) {
 	synctest.Test(t, func(t *testing.T) {
 		store, counts := wharfmemorystore.New(), map[string]int{}
 		live := func() []string { return []string{"a"} }
 		releases := wharfreleases.New(wharfreleases.Options{Store: store, Host: "a", Live: live})
-		s := New(Options{Store: store, Releases: releases, Host: "a", Live: live, Count: func(name string) { counts[name]++ }})
+		o := New(Options{Store: store, Releases: releases, Host: "a", Live: live, Count: func(name string) { counts[name]++ }})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = releases.Serve(ctx) }() // both return when ctx is done
-		go func() { _ = s.Serve(ctx) }()
+		go func() { _ = o.Serve(ctx) }()
 		var endpoints []wharffleet.Endpoint
 		for _, v := range versions {
 			endpoints = append(endpoints, wharffleet.Endpoint{Service: "s", Version: v})
 		}
 		releases.Update(endpoints)
 		time.Sleep(5 * time.Second)
-		body(t, store, s, counts)
+		body(t, store, o, counts)
 		cancel()
 		synctest.Wait()
 	})
@@ -68,15 +68,15 @@
 		"service not recorded":     {versions: []string{"v2"}, route: split, stream: "x"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			run(t, test.versions, func(t *testing.T, store *wharfmemorystore.Store, s *Streams, _ map[string]int) {
-				s.Begin("o", test.begun, test.route, wharfcall.Origin{Service: "s", Version: "v2"})
+			run(t, test.versions, func(t *testing.T, store *wharfmemorystore.Store, o *Origins, _ map[string]int) {
+				o.Record("o", test.begun, test.route, wharfcall.Origin{Service: "s", Version: "v2"})
 				store.SetFault(test.fault)
-				origin, err := s.Origin(t.Context(), "o", test.stream, test.route)
+				origin, err := o.Find(t.Context(), "o", test.stream, test.route)
 				assert.Equal(t, errors.Is(err, wharfreleases.ErrNotKnown), test.want == "", "%v", err)
 				if test.want != "" {
 					assert.Equal(t, origin, wharfcall.Origin{Service: "s", Version: test.want})
 				}
-				_, err = s.lookUp(t.Context(), "another organisation", test.stream)
+				_, err = o.lookUp(t.Context(), "another organisation", test.stream)
 				assert.Assert(t, errors.Is(err, wharfreleases.ErrNotKnown))
 			})
 		})
@@ -84,27 +84,27 @@
 }
 
 func TestSlowStoreHoldsEventsBackForAMoment(t *testing.T) {
-	run(t, []string{"v1", "v2"}, func(t *testing.T, store *wharfmemorystore.Store, s *Streams, counts map[string]int) {
+	run(t, []string{"v1", "v2"}, func(t *testing.T, store *wharfmemorystore.Store, o *Origins, counts map[string]int) {
 		store.SetFault(func(string) error { time.Sleep(300 * time.Millisecond); return nil })
 		start := time.Now()
-		s.Begin("o", "x", route, wharfcall.Origin{Service: "s", Version: "v1"})
+		o.Record("o", "x", route, wharfcall.Origin{Service: "s", Version: "v1"})
 		assert.Equal(t, time.Since(start), recordWait)
-		s.Begin("o", "y", route, wharfcall.Origin{Service: "s", Version: "v1"})
+		o.Record("o", "y", route, wharfcall.Origin{Service: "s", Version: "v1"})
 		assert.Equal(t, time.Since(start), recordWait, "another event was held back at once")
 		assert.Equal(t, counts["stream-records-late"], 1)
 		time.Sleep(time.Second)
 		store.SetFault(nil)
 		for _, stream := range []string{"x", "y"} {
-			_, err := s.Origin(t.Context(), "o", stream, route)
+			_, err := o.Find(t.Context(), "o", stream, route)
 			assert.NilError(t, err)
 		}
 	})
 }
 
 func TestOldRecordsAreRemoved(t *testing.T) {
-	run(t, []string{"v1", "v2"}, func(t *testing.T, store *wharfmemorystore.Store, s *Streams, _ map[string]int) {
+	run(t, []string{"v1", "v2"}, func(t *testing.T, store *wharfmemorystore.Store, o *Origins, _ map[string]int) {
 		for i := range 500 {
-			s.Begin("o", fmt.Sprint(i), route, wharfcall.Origin{Service: "s", Version: "v1"})
+			o.Record("o", fmt.Sprint(i), route, wharfcall.Origin{Service: "s", Version: "v1"})
 		}
 		time.Sleep(retention / 2)
 		assert.Equal(t, countRows(t, store), 500)
--- a/wharf/coordination/wharfreleases/releases.go
+++ b/wharf/coordination/wharfreleases/releases.go
@@ -154,7 +154,8 @@
 	return known && !now.Before(at)
 }
 
-// Several reports whether streams of several versions of a service may be alive, as far as this host knows.
+// Several reports whether streams of more than one version of a service may be alive, as far as this host knows. It is true
+// for a service of which it knows no version.
 func (r *Releases) Several(service string) bool {
 	return r.snapshot.Load().versions[service] != 1
 }
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -84,9 +84,9 @@
 	f.connected = connected
 }
 
-// BeginOnlyWhere keeps online requests that do not continue a stream from endpoints for which admits reports false. It must
-// be called before the first Pick.
-func (f *Fleet) BeginOnlyWhere(admits func(e *Endpoint, now time.Time) bool) {
+// RestrictNewRequests keeps online requests that do not continue a stream from endpoints for which admits reports false. It
+// must be called before the first Pick.
+func (f *Fleet) RestrictNewRequests(admits func(e *Endpoint, now time.Time) bool) {
 	f.admits = admits
 }
 
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -54,7 +55,7 @@
 	requests []string // request IDs
 	bodies   []string
 	conns    int
-	repeat   string // written before each response but the first of a connection
+	repeat   []string // written before each response but the first of a connection, at most one
 }
 
 func newEndpoint(t *testing.T, answer func(id string, request int) []string) *endpoint {
@@ -91,7 +92,7 @@
 		e.requests = append(e.requests, id)
 		count := len(e.requests)
 		e.mu.Unlock()
-		parts := answer(id, count)
+		parts := slices.Concat(e.repeat[:min(answered, len(e.repeat))], answer(id, count))
 		if len(parts) == 0 || parts[0] != "early" {
 			body, err := io.ReadAll(request.Body)
 			if err != nil {
@@ -101,34 +102,23 @@
 			e.bodies = append(e.bodies, string(body))
 			e.mu.Unlock()
 		}
-		if e.repeat != "" && answered > 0 {
-			parts = append([]string{e.repeat}, parts...)
-		}
-		if !writeParts(conn, parts) {
-			return
-		}
-	}
-}
-
-// writeParts writes the parts of a response and reports whether the connection goes on.
-func writeParts(conn *net.TCPConn, parts []string) bool {
-	for _, part := range parts {
-		switch part {
-		case "early":
-		case "close":
-			return false
-		case "reset":
-			_ = conn.SetLinger(0)
-			return false
-		case "silence":
-			time.Sleep(time.Second)
-		default:
-			if _, err := io.WriteString(conn, part); err != nil {
-				return false
+		for _, part := range parts {
+			switch part {
+			case "early":
+			case "close":
+				return
+			case "reset":
+				_ = conn.SetLinger(0)
+				return
+			case "silence":
+				time.Sleep(time.Second)
+			default:
+				if _, err := io.WriteString(conn, part); err != nil {
+					return
+				}
 			}
 		}
 	}
-	return true
 }
 
 func head(id, rest string) string {
@@ -402,7 +392,7 @@
 				}
 				return []string{stream("x", 1, 3) + lastChunk}
 			})
-			e.repeat = refusal
+			e.repeat = []string{refusal}
 			f := New(dialect{}, wharfhttpconn.NewPool())
 			first := do(t, f, exchange(e, "x"), &recordingSink{})
 			assert.Assert(t, first.Outcome != 0)
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -80,7 +80,7 @@
 
 // findOrigin restricts a stream that the caller takes up to the service and version that began it.
 func (o *online) findOrigin(ctx context.Context) error {
-	origin, err := o.server.options.Streams.Origin(ctx, o.organisationName(), o.call.StreamID, o.route)
+	origin, err := o.server.options.Origins.Find(ctx, o.organisationName(), o.call.StreamID, o.route)
 	if err != nil {
 		klog.InfoS("origin of stream not known", o.logFields("error", err.Error())...)
 		return o.withRetryAfter(errVersionUnknown)
@@ -288,7 +288,8 @@
 	if o.continues() {
 		s.options.Metrics.Count("streams-continued")
 	}
-	klog.InfoS("request answered", o.logFields("endpoint", o.endpoint, "endpoint-version", o.endpointVersion, "endpoint-online", o.placementLoad.online, "endpoint-batch", o.placementLoad.batch,
+	klog.InfoS("request answered", o.logFields("endpoint", o.endpoint, "endpoint-version", o.endpointVersion,
+		"endpoint-online", o.placementLoad.online, "endpoint-batch", o.placementLoad.batch,
 		"endpoint-slots", o.placementLoad.slots, "endpoint-limit", o.endpointLimit, "sends", o.sends, "runs", o.runs, "events", o.events,
 		"waited", o.queueTime.String(), "first", o.timeToFirstEvent.String(), "total", total.String(),
 		"configuration-version", o.table.Version)...)
@@ -369,7 +370,7 @@
 func (o *online) WriteEvent(e wharfframes.Event, more bool) error {
 	if o.version == "" && o.route.Resumable {
 		o.version = o.endpointVersion
-		o.server.options.Streams.Begin(o.organisationName(), o.call.ID, o.route,
+		o.server.options.Origins.Record(o.organisationName(), o.call.ID, o.route,
 			wharfcall.Origin{Service: o.service, Version: o.version})
 	}
 	if o.attemptEvents++; o.attemptEvents == begunEvents {
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -14,7 +14,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfgate"
 	"wagtailwharf.example/wharf/coordination/wharfjobstore"
 	"wagtailwharf.example/wharf/coordination/wharflimiter"
-	"wagtailwharf.example/wharf/coordination/wharfstreams"
+	"wagtailwharf.example/wharf/coordination/wharforigins"
 	"wagtailwharf.example/wharf/protocol/wharfdialect"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
 	"wagtailwharf.example/wharf/state/wharfcall"
@@ -89,7 +89,7 @@
 	Gate             *wharfgate.Gate[*wharffleet.Placement]
 	Allocator        *wharfallocator.Allocator
 	Forwarder        *wharfforwarder.Forwarder
-	Streams          *wharfstreams.Streams
+	Origins          *wharforigins.Origins
 	Crashes          *wharfcrash.Tracker
 	Jobs             *wharfjobstore.Store
 	Metrics          *wharfmetrics.Metrics
