--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -34,7 +34,7 @@
 	"2": jobOfManyItems,
 	"3": jobsOfTwoTenants,
 	"4": plannedStop,
-	"5": jobOfARemovedRoute,
+	"5": bytesWithoutEnd,
 }
 
 func main() {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -28,6 +29,7 @@
 	record    *record
 	mu        sync.Mutex
 	runs      []*run
+	trouble   bool // bodies are line feeds without end
 }
 
 // addWorker starts a worker and registers it in the store until ctx ends.
@@ -130,6 +132,10 @@
 	if err != nil {
 		after = 0
 	}
+	if w.inTrouble() {
+		w.sendLineFeeds(ctx, writer)
+		return
+	}
 	for event := after + 1; event <= w.events; event++ {
 		select {
 		case <-time.After(w.eventTime):
@@ -146,7 +152,31 @@
 	w.mu.Unlock()
 }
 
-// runsOf returns copies of all runs at all workers.
+// setTrouble starts or ends the worker's trouble.
+func (w *worker) setTrouble(trouble bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.trouble = trouble
+	w.record.note("worker %s: bodies are line feeds without end %v", w.id, trouble)
+}
+
+func (w *worker) inTrouble() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.trouble
+}
+
+// sendLineFeeds sends line feeds until the caller closes the connection.
+func (w *worker) sendLineFeeds(ctx context.Context, writer io.Writer) {
+	const chunk = 1000
+	for data := bytes.Repeat([]byte("\n"), chunk); ctx.Err() == nil; {
+		if _, err := writer.Write(data); err != nil {
+			return
+		}
+	}
+}
+
+// allRuns returns copies of all runs at all workers.
 func (d *deployment) allRuns() []run {
 	var runs []run
 	for _, w := range d.workers {
