--- a/review/harness/case1.go
+++ b/review/harness/case1.go
@@ -46,7 +46,7 @@
 		len(results), total, status, d.completedRuns(), d.running())
 	d.askOnline(other, online)
 	if len(results) < count {
-		return verdict{true, fmt.Sprintf("%d of %d items are listed neither as completed nor as dead_letter %v after the replacement came",
+		return verdict{true, fmt.Sprintf("%d of %d items are listed neither as done nor as given up %v after the replacement came",
 			count-len(results), count, calmFinish)}, nil
 	}
 	return verdict{false, "all items are listed"}, nil
--- a/review/harness/case2.go
+++ b/review/harness/case2.go
@@ -45,7 +45,7 @@
 	d.record.note("listed %d of %d (status %d); workers have finished %d items; transactions refused by size: %d",
 		len(results), total, status, d.completedRuns(), d.store.refused())
 	if len(results) < count {
-		return verdict{true, fmt.Sprintf("%d of %d items are listed neither as completed nor as dead_letter %v after the store's return",
+		return verdict{true, fmt.Sprintf("%d of %d items are listed neither as done nor as given up %v after the store's return",
 			count-len(results), count, calmFinish)}, nil
 	}
 	return verdict{false, "all items are listed"}, nil
--- a/review/harness/case3.go
+++ b/review/harness/case3.go
@@ -37,7 +37,7 @@
 		return verdict{}, fmt.Errorf("the first job was not accepted: %d", answer.status)
 	}
 	if results, _, _ := one.awaitAll(ctx, b, firstJob, finish); len(results) != count {
-		return verdict{}, fmt.Errorf("the first job was not done: %s", names(results))
+		return verdict{}, fmt.Errorf("the first job was not done: %s", resultNames(results))
 	}
 	if answer := two.submit(ctx, a, route, secondJob, items(route, "second", count)); answer.status != http.StatusAccepted {
 		return verdict{}, fmt.Errorf("the second job was not accepted: %d", answer.status)
@@ -50,7 +50,7 @@
 		}
 	}
 	results, total, status := two.awaitAll(ctx, b, secondJob, finish)
-	d.record.note("second job: %d of %d listed (status %d): %s", len(results), total, status, names(results))
+	d.record.note("second job: %d of %d listed (status %d): %s", len(results), total, status, resultNames(results))
 	var broken []string
 	for _, r := range d.allRuns() {
 		sender := first
--- a/review/harness/case4.go
+++ b/review/harness/case4.go
@@ -125,8 +125,8 @@
 	}
 	request.Host = hostName
 	for name, value := range map[string]string{
-		"Attempt-Id": s.id, "Authorization": "Token " + keyOf("kaje80"), "Model": "m", "Token-Usage": "250,32",
-		"Prompt-Prefix": "5c1e07a2:100," + s.id + ":150", "Deadline-Ms": fmt.Sprint(streamDeadline.Milliseconds()),
+		wire("attempt-id"): s.id, "Authorization": "Token " + keyOf("kaje80"), "Model": "m", wire("token-usage"): "250,32",
+		wire("prompt-prefix"): "5c1e07a2:100," + s.id + ":150", wire("deadline"): fmt.Sprint(streamDeadline.Milliseconds()),
 	} {
 		request.Header.Set(name, value)
 	}
@@ -149,8 +149,8 @@
 // streamRoute returns a route for streams that can't be resumed, as of the deployment's sheet.
 func streamRoute(name string) map[string]any {
 	return map[string]any{
-		"name": name, "host": hostName, "path_prefix": "/" + name + "/", "kind": "streaming", "service": serviceName,
-		"timeout_ms": streamDeadline.Milliseconds(), "target_latency_ms": 300, "gap_aim_ms": 250, "priority": 0,
-		"max_attempts": 1,
+		"name": name, "host": hostName, wire("prefix"): "/" + name + "/", "kind": "streaming", "service": serviceName,
+		"timeout_ms": streamDeadline.Milliseconds(), wire("latency-objective"): 300, wire("gap-objective"): 250, "priority": 0,
+		wire("attempts"): 1,
 	}
 }
--- a/review/harness/case5.go
+++ b/review/harness/case5.go
@@ -56,5 +56,8 @@
 	if wrong > 0 {
 		return verdict{true, fmt.Sprintf("%d of %d results are completed with a text that isn't the item's whole output", wrong, len(results))}, nil
 	}
+	if len(results) < count {
+		return verdict{true, fmt.Sprintf("%d of %d items are not listed", count-len(results), count)}, nil
+	}
 	return verdict{false, "each completed result is the item's whole output"}, nil
 }
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -48,7 +48,7 @@
 		id := fmt.Sprintf("%s%03d", prefix, i)
 		list = append(list, item{
 			ID: id, Path: "/" + route + "/" + id, Body: []byte("question " + id), Tokens: 500,
-			Headers: map[string]string{"Model": "m", "Token-Usage": "250,250", "Prompt-Prefix": "5c1e07a2:100," + id + ":150"},
+			Headers: map[string]string{"Model": "m", wire("token-usage"): "250,250", wire("prompt-prefix"): "5c1e07a2:100," + id + ":150"},
 		})
 	}
 	return list
@@ -73,7 +73,7 @@
 	request.Host = hostName
 	request.Header.Set("Authorization", "Token "+keyOf(c.tenant))
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Deadline-Ms", fmt.Sprint(clientPatience.Milliseconds()))
+	request.Header.Set(wire("deadline"), fmt.Sprint(clientPatience.Milliseconds()))
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
@@ -98,7 +98,7 @@
 	if err != nil {
 		return answer{}
 	}
-	return c.call(ctx, to, http.MethodPost, "/"+route+"/"+job, map[string]string{"Attempt-Id": job}, body)
+	return c.call(ctx, to, http.MethodPost, "/"+route+"/"+job, map[string]string{wire("attempt-id"): job}, body)
 }
 
 // result is the result of an item.
@@ -119,7 +119,7 @@
 // with a page; status is that of the last read.
 func (c *client) readAll(ctx context.Context, from *daemon, job string) (results []result, total, status int) {
 	for {
-		a := c.call(ctx, from, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", url.PathEscape(job), len(results)), nil, nil)
+		a := c.call(ctx, from, http.MethodGet, fmt.Sprintf("%s%s?after=%d", wire("job-path"), url.PathEscape(job), len(results)), nil, nil)
 		var p page
 		if a.status != http.StatusOK || json.Unmarshal(a.body, &p) != nil {
 			return results, total, a.status
@@ -144,8 +144,8 @@
 	}
 }
 
-// names returns the IDs of results, for the record.
-func names(results []result) string {
+// resultNames returns the IDs of results, for the record.
+func resultNames(results []result) string {
 	var list []string
 	for _, r := range results {
 		list = append(list, r.ID+"="+r.State)
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -129,15 +129,15 @@
 // batchRoute returns a route for batch jobs as of the deployment's sheet.
 func batchRoute(name string) map[string]any {
 	return map[string]any{
-		"name": name, "host": hostName, "path_prefix": "/" + name + "/", "kind": "batch", "service": serviceName,
-		"timeout_ms": 15000, "target_latency_ms": 500, "gap_aim_ms": 250, "priority": 2, "max_attempts": 3,
-		"resumable": true, "completion_target_ms": 18000, "max_wait_s": 60, "cap": 1200000,
+		"name": name, "host": hostName, wire("prefix"): "/" + name + "/", "kind": "batch", "service": serviceName,
+		"timeout_ms": 15000, wire("latency-objective"): 500, wire("gap-objective"): 250, "priority": 2, wire("attempts"): 3,
+		"resumable": true, wire("completion-objective"): 18000, wire("longest-wait"): 60, "cap": 1200000,
 	}
 }
 
 // tenant returns a tenant with a key of its own.
 func tenant(name string) map[string]any {
-	return map[string]any{"name": name, "api_keys": []string{keyOf(name)}, "rate_per_s": 100, "burst": 200}
+	return map[string]any{"name": name, wire("keys"): []string{keyOf(name)}, wire("rate"): 100, "burst": 200}
 }
 
 func keyOf(tenant string) string {
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// maxEntries and maxTransactionBytes are the platform's limits of one transaction.
+	// maxEntries and maxTransactionBytes are the platform's limits of one transaction, and maxObjectBytes that of an object.
 	maxEntries          = 100
 	maxTransactionBytes = 1 << 20
+	maxObjectBytes      = 8 << 20
 	// transactionTime, answerTime and objectTime are what calls take.
 	transactionTime = 5 * time.Millisecond
 	answerTime      = 4 * time.Millisecond
@@ -55,13 +56,18 @@
 		return
 	}
 	switch {
-	case r.URL.Path == "/rows-tx":
+	case r.URL.Path == wire("transaction-path"):
 		time.Sleep(transactionTime)
 		if !s.admit(w, r) {
 			return
 		}
 	case strings.HasPrefix(r.URL.Path, "/blob-"):
 		time.Sleep(objectTime)
+		if r.ContentLength > maxObjectBytes {
+			s.record.note("store: refused an object of %d bytes", r.ContentLength)
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
 	default:
 		time.Sleep(answerTime)
 	}
@@ -74,13 +80,12 @@
 	if err != nil {
 		return false
 	}
-	var transaction struct {
-		Conditions []json.RawMessage `json:"expected_revision"`
-		Puts       []json.RawMessage `json:"puts"`
-		Deletes    []json.RawMessage `json:"deletes"`
+	var lists map[string][]json.RawMessage // conditions, rows to write and rows to delete
+	err = json.Unmarshal(body, &lists)
+	entries := 0
+	for _, list := range lists {
+		entries += len(list)
 	}
-	err = json.Unmarshal(body, &transaction)
-	entries := len(transaction.Conditions) + len(transaction.Puts) + len(transaction.Deletes)
 	if err == nil && entries <= maxEntries && len(body) <= maxTransactionBytes {
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		return true
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -49,7 +49,7 @@
 	register := func(sequence int) error {
 		return d.store.PutRow("servers", id, map[string]any{
 			"service": serviceName, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
-			"cold_remaining_ms": 0, "sequence": sequence, "born": born,
+			wire("cold-time"): 0, "sequence": sequence, "born": born,
 		})
 	}
 	go func() {
@@ -80,27 +80,27 @@
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(writer http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet {
-		writer.Header().Set("Instance-Id", w.id)
+		writer.Header().Set(wire("worker-id"), w.id)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("Attempt-Id")
-	writer.Header().Set("Attempt-Id", id)
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
-		writer.Header().Set("Not-Executed", "1")
+	id := r.Header.Get(wire("attempt-id"))
+	writer.Header().Set(wire("attempt-id"), id)
+	if expected := r.Header.Get(wire("expected-worker")); expected != "" && expected != w.id {
+		writer.Header().Set(wire("not-run"), "1")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if id == "" {
-		writer.Header().Set("Not-Executed", "1")
+		writer.Header().Set(wire("not-run"), "1")
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	ctx := r.Context()
-	if limit, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+	if limit, err := strconv.Atoi(r.Header.Get(wire("deadline"))); err == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(limit)*time.Millisecond)
 		defer cancel()
@@ -108,14 +108,14 @@
 	select {
 	case w.slots <- struct{}{}:
 	case <-ctx.Done():
-		writer.Header().Set("Not-Executed", "1")
+		writer.Header().Set(wire("not-run"), "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-w.slots }()
 	began := &run{
 		id: id, tenant: r.Header.Get("Tenant"), path: r.RequestURI, body: string(body),
-		after: r.Header.Get("Last-Event-Id"), at: time.Now(),
+		after: r.Header.Get(wire("last-event-id")), at: time.Now(),
 	}
 	w.mu.Lock()
 	w.runs = append(w.runs, began)
@@ -127,7 +127,7 @@
 // stream writes the events after the one that the request names.
 func (w *worker) stream(ctx context.Context, writer http.ResponseWriter, r *run) {
 	writer.Header().Set("Content-Type", "text/event-stream")
-	writer.Header().Set("Response-Signature", "signed-"+r.id)
+	writer.Header().Set(wire("signature"), "signed-"+r.id)
 	after, err := strconv.Atoi(r.after)
 	if err != nil {
 		after = 0
