--- a/wagtailwharfd/wharfdaemon/shutdown.go
+++ b/wagtailwharfd/wharfdaemon/shutdown.go
@@ -23,7 +23,8 @@
 	defer cancel()
 	batchDrain.Go(func() { d.runner.Drain(drainCtx) })
 	wharfpause.For(ctx, time.Duration(d.settings.Drain.Grace))
-	if err := wharfservice.Drain(drainCtx, d.callers, callers, d.connections.Counts); err != nil {
+	d.gateway.StopAdmitting()
+	if err := wharfservice.Drain(drainCtx, d.callers, callers, d.connections); err != nil {
 		klog.ErrorS(err, "requests aborted at the drain limit")
 	}
 	batchDrain.Wait()
--- a/wagtailwharfd/wharfhost/online_test.go
+++ b/wagtailwharfd/wharfhost/online_test.go
@@ -270,3 +270,52 @@
 		return err == nil && len(page.Rows) == 1
 	})
 }
+
+// TestRequestsLateInAPlannedStopAreNotCut guards against a stopping host that read requests from open connections until it
+// cut them off at the end of its stop limit (review/4). Callers use their connections until the host closes them: most send
+// one request each, spread over the stop, and some send without a pause.
+func TestRequestsLateInAPlannedStopAreNotCut(t *testing.T) {
+	const callers, restless, spread = 140, 5, 60 * time.Millisecond
+	c := newCluster(t, 1, 10)
+	for _, e := range c.endpoints {
+		e.EventTime = 150 * time.Millisecond
+	}
+	leaving, draining, notServed := c.hosts[0], make(chan struct{}), make(chan string, 10000)
+	ask := func(caller *wharfstandin.Caller, id string) bool {
+		resp := caller.Send(context.Background(), leaving.address(), "POST", "/once/x", id, "")
+		if resp.Err != nil || resp.Status != http.StatusOK {
+			assert.Check(t, resp.Err != nil && resp.Status == 0 || resp.Status == http.StatusServiceUnavailable,
+				"%s was cut off: %d, %v", id, resp.Status, resp.Err)
+			notServed <- id
+		}
+		return resp.Err == nil
+	}
+	var calls sync.WaitGroup
+	for i := range callers {
+		caller := wharfstandin.NewCaller(callerHost, keyA)
+		calls.Go(func() {
+			caller.Send(context.Background(), leaving.address(), "POST", "/none/x", fmt.Sprintf("early-%d", i), "")
+			<-draining
+			time.Sleep(time.Duration(i) * spread)
+			ask(caller, fmt.Sprintf("late-%d", i))
+		})
+	}
+	for i := range restless {
+		caller := wharfstandin.NewCaller(callerHost, keyA)
+		calls.Go(func() {
+			for n := 0; ask(caller, fmt.Sprintf("restless-%d-%d", i, n)); n++ {
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	close(draining)
+	leaving.Drain()
+	assert.NilError(t, <-leaving.done)
+	assert.Check(t, leaving.frontend.InFlight() == 0, "%d requests are cut off by the end of the process", leaving.frontend.InFlight())
+	leaving.once.Do(func() {})
+	calls.Wait()
+	close(notServed)
+	for id := range notServed {
+		assert.Check(t, len(c.executions(id)) == 0, "%s has run", id)
+	}
+}
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// drainGrace is how long a draining daemon keeps accepting connections. The load balancer checks readiness once a
-	// second and removes a host after two failed checks.
-	drainGrace = 3 * time.Second
+	// drainGrace is how long a draining daemon keeps accepting connections and all requests. The load balancer checks
+	// readiness once a second and removes a host after two failed checks.
+	drainGrace = 2500 * time.Millisecond
 	// exitMargin is the time reserved for process exit before the stop limit, at which the process is killed.
 	exitMargin = 800 * time.Millisecond
 	// jobHandoverTimeout bounds the release of this host's batch jobs.
@@ -173,8 +173,8 @@
 	_, _ = w.Write(data) // the client may have disconnected
 }
 
-// shutDown performs a graceful shutdown: it fails readiness checks, hands over the batch jobs, waits for the requests
-// in flight and removes this host's row.
+// shutDown performs a graceful shutdown: it fails readiness checks, hands over the batch jobs, refuses requests that could
+// outlast the stop limit, waits for the requests in flight and removes this host's row.
 func (h *Host) shutDown(ctx context.Context, callers net.Listener) {
 	start := time.Now()
 	klog.InfoS("daemon draining", "incarnation", h.incarnation,
@@ -185,13 +185,15 @@
 	handoverCtx, cancel := context.WithTimeout(ctx, jobHandoverTimeout)
 	h.runner.Close(handoverCtx)
 	cancel()
-	wharfpause.For(ctx, drainGrace-time.Since(start))
-	deadline := start.Add(time.Duration(h.settings.Stop.Limit) - exitMargin)
+	available := max(0, time.Duration(h.settings.Stop.Limit)-exitMargin)
+	wharfpause.For(ctx, min(drainGrace, available/2)-time.Since(start))
+	deadline := start.Add(available)
+	h.frontend.RefuseOutlasting(deadline)
 	shutdownCtx, cancelShutdown := context.WithDeadline(ctx, deadline.Add(exitMargin/2))
 	defer cancelShutdown()
 	h.logConnections("daemon stops accepting connections", start, "")
 	reason := "all requests answered"
-	if err := wharfservice.Drain(shutdownCtx, h.callers, callers, h.connections.Counts); err != nil {
+	if err := wharfservice.Drain(shutdownCtx, h.callers, callers, h.connections); err != nil {
 		reason = "requests aborted at the shutdown deadline: " + err.Error()
 	}
 	h.logConnections("daemon drained", start, reason)
--- a/wagtailwharfd/wharfservice/service.go
+++ b/wagtailwharfd/wharfservice/service.go
@@ -10,7 +10,6 @@
 
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
-	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"wagtailwharf.example/wharf/state/wharfpause"
@@ -67,23 +66,26 @@
 const (
 	// maxAcceptWait bounds the wait for the accept queue: callers that go on connecting may never leave it empty.
 	maxAcceptWait = 500 * time.Millisecond
-	// newConnectionWait is how long a caller that has connected may take to send its request after the listener is closed.
+	// newConnectionWait is how long a caller that has connected may take to send its first request.
 	newConnectionWait = time.Second
-	pollPause         = 5 * time.Millisecond
+	// idleWait is how long a caller may take to send another request after a response. Closing the connection at once
+	// would meet the next request of a caller that sends without a pause.
+	idleWait  = 200 * time.Millisecond
+	pollPause = 5 * time.Millisecond
 )
 
 // Drain ends a server without cutting off a request that has reached it: it accepts the connections that the kernel has set
-// up, closes the listener, and shuts the server down once no connection has a request. Until then the server goes on
-// reading: after http.Server.Shutdown has begun, it drops each request that it reads, without an answer. It returns an error
-// if ctx ends before.
-func Drain(ctx context.Context, server *http.Server, listener net.Listener, counts func() wharfidle.Counts) error {
+// up, closes the listener, closes connections without a request, and shuts the server down once none is left. Until then the
+// server goes on reading: after http.Server.Shutdown has begun, it drops each request that it reads, without an answer. The
+// server's handler must refuse requests that could outlast ctx. Drain returns an error if ctx ends before.
+func Drain(ctx context.Context, server *http.Server, listener net.Listener, connections *wharfidle.Closer) error {
 	awaitAccepted(ctx, listener)
 	if err := listener.Close(); err != nil {
 		klog.InfoS("failed to close the listener", "error", err.Error())
 	}
-	for closed := time.Now(); wharfpause.For(ctx, pollPause); {
-		c := counts()
-		if c.Active == 0 && (c.New == 0 || time.Since(closed) > newConnectionWait) {
+	for wharfpause.For(ctx, pollPause) {
+		connections.CloseUnused(idleWait, newConnectionWait)
+		if c := connections.Counts(); c.New+c.Active+c.Idle == 0 {
 			break
 		}
 	}
@@ -93,26 +95,15 @@
 // awaitAccepted waits until the server has accepted the connections that the kernel has set up: closing the listener resets
 // the others.
 func awaitAccepted(ctx context.Context, listener net.Listener) {
-	tcp, ok := listener.(syscall.Conn)
+	socket, ok := listener.(syscall.Conn)
 	if !ok {
 		return
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		klog.InfoS("failed to see whether connections wait to be accepted", "error", err.Error())
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, maxAcceptWait)
 	defer cancel()
-	for ready := 1; ready > 0 && wharfpause.For(ctx, pollPause); {
-		var polled error
-		err := raw.Control(func(fd uintptr) {
-			ready, polled = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		})
-		if errors.Is(polled, unix.EINTR) {
-			ready, polled = 1, nil
-		}
-		if err := errors.Join(err, polled); err != nil {
+	for waiting := true; waiting && wharfpause.For(ctx, pollPause); {
+		var err error
+		if waiting, err = wharfidle.Readable(socket); err != nil {
 			klog.InfoS("failed to see whether connections wait to be accepted", "error", err.Error())
 			return
 		}
--- a/wagtailwharfd/wharfservice/service_test.go
+++ b/wagtailwharfd/wharfservice/service_test.go
@@ -49,7 +49,7 @@
 	time.AfterFunc(100*time.Millisecond, func() { close(slow) })
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	assert.NilError(t, Drain(ctx, server, listener, connections.Counts))
+	assert.NilError(t, Drain(ctx, server, listener, connections))
 	callers.Wait()
 	serving.Wait()
 }
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -51,7 +51,11 @@
 	if len(items) == 0 || len(items) > maxItems {
 		return errJobTooLarge
 	}
-	ctx, cancel := context.WithTimeout(parent, min(storeTimeout, q.remaining()))
+	limit := min(storeTimeout, q.remaining())
+	if err := q.endsBeforeStop(limit); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
 	err = q.server.options.Jobs.Submit(ctx, wharfjobstore.Submission{
 		ID:               q.call.ID,
@@ -98,7 +102,11 @@
 	if job.Action != wharfdialect.CancelJob {
 		limit = job.Wait + jobQueryTimeout
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), min(limit, q.remaining()-jobResponseReserve))
+	limit = min(limit, q.remaining()-jobResponseReserve)
+	if err := q.endsBeforeStop(limit); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	defer cancel()
 	switch job.Action {
 	case wharfdialect.CancelJob:
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -34,6 +34,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
+	// stoppingRetryAfter is the retry delay of a request that another host can serve at once.
+	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 var (
@@ -70,6 +72,8 @@
 		"the endpoint did not answer within the route's time").MayHaveRun()
 	errEndpointFailed = wharfrefusal.New(http.StatusBadGateway, "endpoint-failed",
 		"the endpoint did not give a whole answer").MayHaveRun()
+	errStopping = wharfrefusal.New(http.StatusServiceUnavailable, "stopping",
+		"this host is about to stop; send the request again on a new connection")
 	errCrashesEndpoints = wharfrefusal.New(http.StatusInternalServerError, "crashes-endpoints",
 		"requests like this one crash the endpoints that run them and are not run")
 )
@@ -104,14 +108,18 @@
 
 // Server is the HTTP handler of callers' requests.
 type Server struct {
-	options  Options
-	draining atomic.Bool
-	inFlight atomic.Int64
+	options      Options
+	draining     atomic.Bool
+	stopAt       atomic.Pointer[time.Time] // nil unless requests that may last longer are refused
+	bodies       context.Context           // done when bodies that still arrive are given up
+	giveUpBodies context.CancelFunc
+	inFlight     atomic.Int64
 }
 
 // New returns a server.
 func New(options Options) *Server {
-	return &Server{options: options}
+	bodies, giveUpBodies := context.WithCancel(context.Background())
+	return &Server{options: options, bodies: bodies, giveUpBodies: giveUpBodies}
 }
 
 // StartDraining makes every further response close its connection, before a planned stop.
@@ -119,6 +127,22 @@
 	s.draining.Store(true)
 }
 
+// RefuseOutlasting refuses, as not run, each further request that could still be running at stopAt, and then the requests
+// whose bodies have not arrived.
+func (s *Server) RefuseOutlasting(stopAt time.Time) {
+	s.stopAt.Store(&stopAt)
+	time.AfterFunc(time.Until(stopAt), s.giveUpBodies)
+}
+
+// endsBeforeStop returns an error if a request that may take as long as limit could outlast a planned stop.
+func (q *request) endsBeforeStop(limit time.Duration) error {
+	stopAt := q.server.stopAt.Load()
+	if stopAt == nil || time.Until(*stopAt) >= limit {
+		return nil
+	}
+	return errStopping.WithExactRetryAfter(stoppingRetryAfter)
+}
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int {
 	return int(s.inFlight.Load())
@@ -199,6 +223,9 @@
 	if q.route.Kind == wharfroute.Batch {
 		return q.submit(r.Context())
 	}
+	if err := q.endsBeforeStop(q.remaining()); err != nil {
+		return err
+	}
 	if q.continues() {
 		s.options.Metrics.Count("streams-taken-up")
 	}
@@ -285,16 +312,22 @@
 	if r.ContentLength > limit {
 		return errTooLarge
 	}
+	connection := http.NewResponseController(q.writer)
+	keepReading := context.AfterFunc(q.server.bodies, func() { _ = connection.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(q.writer, r.Body, limit))
+	givenUp := !keepReading()
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return errTooLarge
 	}
+	if err != nil && givenUp {
+		return errStopping.WithExactRetryAfter(stoppingRetryAfter)
+	}
 	if err != nil {
 		return errBodyTruncated
 	}
 	// The server goes on reading, to notice that the caller disconnects.
-	if err := http.NewResponseController(q.writer).SetReadDeadline(time.Time{}); err != nil {
+	if err := connection.SetReadDeadline(time.Time{}); err != nil {
 		klog.V(1).InfoS("failed to lift a caller's read limit", "request-id", q.call.ID, "error", err.Error())
 	}
 	q.call.Body = body
--- a/wharf/transport/wharfgateway/server.go
+++ b/wharf/transport/wharfgateway/server.go
@@ -63,8 +63,13 @@
 	mux      *http.ServeMux
 	active   sync.Map // *activeRequest → struct{}
 	draining atomic.Bool
+	stopping atomic.Bool // refuses requests
 }
 
+// errStopping refuses a request that arrives late in a planned stop.
+var errStopping = wharfrefusal.New(http.StatusServiceUnavailable, "stopping",
+	"this host is about to stop; send the request again on a new connection").WithRetryAfter(0)
+
 // activeRequest is a request with a key that is being served.
 type activeRequest struct {
 	key    string // ID of the key
@@ -96,6 +101,10 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.stopping.Load() {
+		s.refuse(w, errStopping)
+		return
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
@@ -104,6 +113,12 @@
 	s.draining.Store(true)
 }
 
+// StopAdmitting makes the server refuse further requests as not run: how long they take is not bounded by the time that is
+// left until the stop.
+func (s *Server) StopAdmitting() {
+	s.stopping.Store(true)
+}
+
 // CancelRevoked cancels the active requests whose key is no longer in the snapshot.
 func (s *Server) CancelRevoked(snapshot *wharfsnapshot.Snapshot) {
 	s.active.Range(func(request, _ any) bool {
--- a/wharf/transport/wharfidle/closer.go
+++ b/wharf/transport/wharfidle/closer.go
@@ -13,7 +13,7 @@
 	idleTimeout func() time.Duration
 	mu          sync.Mutex
 	idle        map[net.Conn]*idlePeriod
-	states      map[net.Conn]http.ConnState // of the open connections
+	open        map[net.Conn]connection
 	accepted    int
 }
 
@@ -25,6 +25,12 @@
 	Idle     int // open, between requests
 }
 
+// connection is the state of an open connection.
+type connection struct {
+	state http.ConnState
+	since time.Time
+}
+
 // idlePeriod is one idle period of a connection. The closer's mutex guards its timer.
 type idlePeriod struct {
 	timer *time.Timer
@@ -32,7 +38,7 @@
 
 // New returns a closer. It calls idleTimeout whenever a connection becomes idle; a result of 0 means no timeout.
 func New(idleTimeout func() time.Duration) *Closer {
-	return &Closer{idleTimeout: idleTimeout, idle: map[net.Conn]*idlePeriod{}, states: map[net.Conn]http.ConnState{}}
+	return &Closer{idleTimeout: idleTimeout, idle: map[net.Conn]*idlePeriod{}, open: map[net.Conn]connection{}}
 }
 
 // Track records a state change of a connection; use it as http.Server.ConnState.
@@ -42,11 +48,11 @@
 	switch state {
 	case http.StateNew:
 		c.accepted++
-		c.states[conn] = state
+		c.open[conn] = connection{state, time.Now()}
 	case http.StateClosed, http.StateHijacked:
-		delete(c.states, conn)
+		delete(c.open, conn)
 	default:
-		c.states[conn] = state
+		c.open[conn] = connection{state, time.Now()}
 	}
 	if previous := c.idle[conn]; previous != nil {
 		previous.timer.Stop()
@@ -64,7 +70,7 @@
 	c.idle[conn] = period
 }
 
-// expire closes a connection unless it has received a request since.
+// expire closes a connection unless it has received a request, or a part of one, since.
 func (c *Closer) expire(conn net.Conn, period *idlePeriod) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -72,7 +78,23 @@
 		return
 	}
 	delete(c.idle, conn)
-	_ = conn.Close()
+	if !readable(conn) {
+		_ = conn.Close()
+	}
+}
+
+// CloseUnused closes the connections that have been between two requests for idle, or open without a request for unused,
+// unless data has arrived that the server has not read.
+func (c *Closer) CloseUnused(idle, unused time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, current := range c.open {
+		age := time.Since(current.since)
+		expired := current.state == http.StateIdle && age >= idle || current.state == http.StateNew && age >= unused
+		if expired && !readable(conn) {
+			_ = conn.Close()
+		}
+	}
 }
 
 // Counts returns the current numbers of connections.
@@ -80,8 +102,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	counts := Counts{Accepted: c.accepted}
-	for _, state := range c.states {
-		switch state {
+	for _, current := range c.open {
+		switch current.state {
 		case http.StateNew:
 			counts.New++
 		case http.StateActive:
