--- a/wagtailwharfd/wharfhost/jobs_test.go
+++ b/wagtailwharfd/wharfhost/jobs_test.go
@@ -91,6 +91,32 @@
 	assert.Equal(t, resp.Status, http.StatusNotFound, "job of another organisation")
 }
 
+// TestBytesWithoutEndAreNoPartOfResults guards against completed results that contain what a faulty endpoint sent without end
+// (review/5).
+func TestBytesWithoutEndAreNoPartOfResults(t *testing.T) {
+	for name, faults := range map[string]wharfstandin.Faults{
+		"line feeds":                {Nonsense: strings.Repeat("\n", 64<<10)},
+		"comments":                  {Nonsense: strings.Repeat(": no event\n\n", 1000)},
+		"comments now and then":     {Nonsense: ": no event\n\n", NonsensePause: 50 * time.Millisecond},
+		"events without a number":   {Nonsense: strings.Repeat("data: x\n\n", 1000)},
+		"numbers without an event":  {Nonsense: strings.Repeat("id: 1\n\n", 1000)},
+		"the same number repeated":  {Nonsense: strings.Repeat("id: 1\ndata: x\n\n", 1000)},
+		"line feeds now and then":   {Nonsense: "\n", NonsensePause: 50 * time.Millisecond},
+		"a line that does not end":  {Nonsense: strings.Repeat("x", 64<<10)},
+		"fields that no one knows":  {Nonsense: strings.Repeat("retry: 1\nfield: x\n\n", 1000)},
+		"carriage returns and line": {Nonsense: strings.Repeat("\r\n", 32<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, 3)
+			c.endpoints[0].SetFaults(faults)
+			assert.Equal(t, c.submit(c.hosts[0], "job", 20).Status, http.StatusAccepted)
+			time.AfterFunc(2500*time.Millisecond, func() { c.endpoints[0].SetFaults(wharfstandin.Faults{}) })
+			c.assertJob(c.hosts[0], "job", 20)
+		})
+	}
+}
+
 func TestJobsOverTheLimitsAreRefused(t *testing.T) {
 	c := newCluster(t, 2, 1)
 	c.endpoints[0].EventTime = time.Second
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -43,6 +43,9 @@
 	// than Options.Retention they are kept.
 	cleanupInterval = 10 * time.Second
 	retentionMargin = 30 * time.Second
+	// maxOutputBytes bounds an item's output over all of its attempts. It is half of the largest object that known platforms
+	// store.
+	maxOutputBytes = 4 << 20
 	// adoptInterval is the time between two checks for jobs whose owner can't run them.
 	adoptInterval = 300 * time.Millisecond
 )
--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -228,5 +228,6 @@
 		},
 		Placement: placement,
 		Route:     route,
+		MaxBytes:  maxOutputBytes - len(i.text),
 	}
 }
--- a/wharf/coordination/wharfjobrunner/task.go
+++ b/wharf/coordination/wharfjobrunner/task.go
@@ -17,6 +17,7 @@
 	Attempt   wharfcall.Attempt
 	Placement *wharffleet.Placement
 	Route     *wharfroute.Route
+	MaxBytes  int // that the item's output may still grow by
 }
 
 // Outcome is the result of an attempt.
@@ -27,6 +28,7 @@
 	Text      []byte // data of the events, one line each
 	LastEvent int    // number of the last event
 	Events    int
+	Overlong  bool // the endpoint sent more than Task.MaxBytes, which says that the output is not that of the item
 }
 
 // Executor runs attempts. When ctx ends, Execute stops and returns the output so far.
--- a/wharf/protocol/wharfevents/reader.go
+++ b/wharf/protocol/wharfevents/reader.go
@@ -9,12 +9,12 @@
 	"github.com/gravitational/trace"
 )
 
-// MaxEventBytes is the maximum length of a line and of the data of an event.
+// MaxEventBytes is the maximum length of an event in bytes, with the lines before it that belong to none.
 const MaxEventBytes = 1 << 20
 
 // Errors of a stream.
 var (
-	// ErrTooLong means that a line or the data of an event is longer than MaxEventBytes.
+	// ErrTooLong means that an event is longer than MaxEventBytes.
 	ErrTooLong = errors.New("event is too long")
 	// ErrCutShort means that the stream ended before its [DONE] event.
 	ErrCutShort = errors.New("stream was cut short")
@@ -39,11 +39,14 @@
 // without one.
 func (r *Reader) Next() ([]byte, error) {
 	var data []byte
-	for {
+	for read := 0; ; {
 		line, err := r.line()
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
+		if read += len(line) + 1; read > MaxEventBytes {
+			return nil, trace.Wrap(ErrTooLong)
+		}
 		if len(line) == 0 {
 			if data == nil {
 				continue
@@ -62,9 +65,6 @@
 			data = append(data, '\n')
 		}
 		data = append(data, field...)
-		if len(data) > MaxEventBytes {
-			return nil, trace.Wrap(ErrTooLong)
-		}
 	}
 }
 
--- a/wharf/protocol/wharfframes/scanner.go
+++ b/wharf/protocol/wharfframes/scanner.go
@@ -22,7 +22,8 @@
 	dataField    = []byte("data:")
 )
 
-// Event is one whole event. Raw is valid until the next call of Next.
+// Event is one block of a stream, up to an empty line. A block without a data field, such as a comment or empty lines, is no
+// event by the standard of event streams. Raw is valid until the next call of Next.
 type Event struct {
 	Raw    []byte // including the empty line that ends the event
 	Number int    // numeric ID, if HasNumber is set
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -18,6 +18,8 @@
 
 const (
 	copyBufferBytes = 16 << 10
+	// maxFillerBytes bounds the blocks without data, such as comments, between two events of a stream.
+	maxFillerBytes = 16 << 10
 	// maxErrorBodyBytes is how much of an error response's body is buffered to be forwarded.
 	maxErrorBodyBytes = 64 << 10
 )
@@ -26,7 +28,8 @@
 type ResponseSink interface {
 	// WriteHeader receives the status and header of the first response.
 	WriteHeader(status int, header http.Header) error
-	// WriteEvent receives a complete event; more reports that another one is already buffered.
+	// WriteEvent receives a complete event, or a block of a stream that has no data and is no event; more reports that
+	// another one is already buffered.
 	WriteEvent(e wharfframes.Event, more bool) error
 	// WriteBody receives a part of a body that is not an event stream.
 	WriteBody(data []byte) error
@@ -83,6 +86,8 @@
 	conn      *wharfhttpconn.Conn
 	sink      ResponseSink
 	result    Result
+	filler    []byte // blocks without data before the first event
+	skipped   int    // bytes of the blocks without data since the last event
 	started   time.Time
 	reuseFor  time.Duration
 }
@@ -110,6 +115,7 @@
 	errServerError   = errors.New("endpoint responded with a server error")
 	errCallerGone    = errors.New("caller no longer accepts the response")
 	errEventOrder    = errors.New("stream events are out of order")
+	errNoEvents      = errors.New("stream has too many bytes without an event")
 )
 
 // outcomeOf classifies the error of an attempt.
@@ -317,22 +323,53 @@
 	}
 }
 
-// forwardEvent forwards an event whose number follows the last one; events without a number are not checked.
+// forwardEvent forwards an event whose number follows the last one. An event without a number, or a number without an event,
+// is out of order: nothing says where the stream can be resumed.
 func (a *attempt) forwardEvent(response *http.Response, event wharfframes.Event, more bool) error {
 	inSequence := a.Attempt.Resumes || a.result.Events > 0
-	if event.HasNumber && inSequence && event.Number != a.result.LastEvent+1 {
+	if event.HasNumber != event.HasData || event.HasNumber && inSequence && event.Number != a.result.LastEvent+1 {
 		return errEventOrder
 	}
-	if err := a.writeHeader(response); err != nil {
+	if !event.HasData {
+		return a.forwardFiller(event, more)
+	}
+	if err := a.writeFiller(response); err != nil {
 		return err
 	}
 	if a.sink.WriteEvent(event, more) != nil {
 		return errCallerGone
 	}
 	a.result.Events++
-	if event.HasNumber {
-		a.result.LastEvent = event.Number
+	a.result.LastEvent = event.Number
+	a.skipped = 0
+	return nil
+}
+
+// forwardFiller forwards a block without data. Before the first event it is kept: an endpoint that has sent no event has not
+// begun to answer.
+func (a *attempt) forwardFiller(block wharfframes.Event, more bool) error {
+	if a.skipped += len(block.Raw); a.skipped > maxFillerBytes {
+		return errNoEvents
+	}
+	if a.result.Events == 0 {
+		a.filler = append(a.filler, block.Raw...)
+		return nil
+	}
+	if a.sink.WriteEvent(block, more) != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// writeFiller forwards the header and the blocks that came before the first event.
+func (a *attempt) writeFiller(response *http.Response) error {
+	if err := a.writeHeader(response); err != nil {
+		return err
+	}
+	if len(a.filler) > 0 && a.sink.WriteEvent(wharfframes.Event{Raw: a.filler}, true) != nil {
+		return errCallerGone
 	}
+	a.filler = nil
 	return nil
 }
 
@@ -343,5 +380,5 @@
 	if len(rest) > 0 || unframed && a.result.Events == 0 && !a.Attempt.Resumes {
 		return wharfhttpconn.ErrConnectionBroken
 	}
-	return a.writeHeader(response)
+	return a.writeFiller(response)
 }
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -366,15 +366,11 @@
 	return nil
 }
 
-// WriteEvent forwards an event, and flushes unless another event follows immediately.
+// WriteEvent forwards a block of a stream, and flushes unless another one follows immediately.
 func (o *online) WriteEvent(e wharfframes.Event, more bool) error {
-	if o.version == "" && o.route.Resumable {
-		o.version = o.endpointVersion
-		o.server.options.Origins.Record(o.organisationName(), o.call.ID, o.route,
-			wharfcall.Origin{Service: o.service, Version: o.version})
-	}
-	if o.attemptEvents++; o.attemptEvents == begunEvents {
-		defer o.noteAnswer()
+	if e.HasData {
+		o.noteEvent()
+		defer o.noteBegun()
 	}
 	if _, err := o.writer.Write(e.Raw); err != nil {
 		return err
@@ -385,6 +381,24 @@
 	return http.NewResponseController(o.writer).Flush()
 }
 
+// noteEvent records the version that begins a stream.
+func (o *online) noteEvent() {
+	o.attemptEvents++
+	if o.version != "" || !o.route.Resumable {
+		return
+	}
+	o.version = o.endpointVersion
+	o.server.options.Origins.Record(o.organisationName(), o.call.ID, o.route,
+		wharfcall.Origin{Service: o.service, Version: o.version})
+}
+
+// noteBegun records that the endpoint has begun to answer, once it has sent enough events.
+func (o *online) noteBegun() {
+	if o.attemptEvents == begunEvents {
+		o.noteAnswer()
+	}
+}
+
 // WriteBody forwards a part of a response body.
 func (o *online) WriteBody(data []byte) error {
 	_, err := o.writer.Write(data)
--- a/wharf/transport/wharfjobexecutor/endless_test.go
+++ b/wharf/transport/wharfjobexecutor/endless_test.go
@@ -12,13 +12,13 @@
 
 // TestItemOutputIsBounded guards against an endpoint that sends events of an item without end.
 func TestItemOutputIsBounded(t *testing.T) {
-	c := &collector{}
-	event := wharfframes.Event{Raw: append(append([]byte("data: "), bytes.Repeat([]byte("x"), 1<<20)...), '\n', '\n')}
+	c := &collector{maxBytes: 4 << 20}
+	event := wharfframes.Event{HasData: true, Raw: append(append([]byte("data: "), bytes.Repeat([]byte("x"), 1<<20)...), '\n', '\n')}
 	var err error
 	for i := 0; err == nil; i++ {
 		assert.Assert(t, i < 100, "events are accepted without end")
 		err = c.WriteEvent(event, false)
 	}
-	assert.Assert(t, errors.Is(err, errTextTooLong))
-	assert.Assert(t, c.tooLong && len(c.text) <= maxTextBytes)
+	assert.Assert(t, errors.Is(err, errOverlong))
+	assert.Assert(t, c.overlong && len(c.text) <= c.maxBytes)
 }
--- a/wharf/transport/wharfjobexecutor/executor.go
+++ b/wharf/transport/wharfjobexecutor/executor.go
@@ -20,13 +20,10 @@
 	// eventGapTimeout bounds the pause between two events. An engine that preempts an item has to process its input
 	// again.
 	eventGapTimeout = 2 * time.Second
-	// maxTextBytes bounds an item's output, so that an endpoint that sends events without end costs little memory. It
-	// is half of the largest object that known platforms store.
-	maxTextBytes = 4 << 20
 )
 
-// errTextTooLong means that an endpoint sent more than maxTextBytes for an item.
-var errTextTooLong = errors.New("output of the item is too long")
+// errOverlong means that an endpoint sent more than an item can have.
+var errOverlong = errors.New("output of the item is too long")
 
 // Executor makes attempts at batch items. It implements wharfjobrunner.Executor.
 type Executor struct {
@@ -40,10 +37,11 @@
 
 // collector is a response sink that joins the data of events.
 type collector struct {
-	status  int
-	text    []byte
-	tooLong bool
-	events  int // in this attempt, plus 1 if it resumes an earlier one
+	status   int
+	text     []byte
+	maxBytes int
+	overlong bool
+	events   int // in this attempt, plus 1 if it resumes an earlier one
 }
 
 // WriteHeader records the status.
@@ -52,11 +50,14 @@
 	return nil
 }
 
-// WriteEvent appends an event's data as a line.
+// WriteEvent appends an event's data as a line. A block without data is no event.
 func (c *collector) WriteEvent(e wharfframes.Event, _ bool) error {
-	if len(c.text)+len(e.Raw) > maxTextBytes {
-		c.tooLong = true
-		return errTextTooLong
+	if !e.HasData {
+		return nil
+	}
+	if len(c.text)+len(e.Raw) > c.maxBytes {
+		c.overlong = true
+		return errOverlong
 	}
 	if c.events > 0 {
 		c.text = append(c.text, '\n')
@@ -73,7 +74,7 @@
 
 // Execute makes one attempt at an item.
 func (e *Executor) Execute(ctx context.Context, task *wharfjobrunner.Task) wharfjobrunner.Outcome {
-	c := &collector{}
+	c := &collector{maxBytes: task.MaxBytes}
 	if task.Attempt.Resumes {
 		c.events = 1
 	}
@@ -86,8 +87,8 @@
 		IdleTimeout:       eventGapTimeout,
 		OnResponse:        func(r wharfcall.Response) { task.Placement.Hear(r) },
 	}, c)
-	if c.tooLong {
-		result.Outcome, result.Err = wharfoutcome.Malformed, errTextTooLong
+	if c.overlong {
+		result.Outcome, result.Err = wharfoutcome.Malformed, errOverlong
 	}
 	return wharfjobrunner.Outcome{
 		Outcome:   result.Outcome,
@@ -96,5 +97,6 @@
 		Text:      c.text,
 		LastEvent: result.LastEvent,
 		Events:    result.Events,
+		Overlong:  c.overlong,
 	}
 }
