--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -240,6 +240,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.checkSilence(now)
 	free := 0
 	for e := range f.services[service].all() {
 		if !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
--- a/wharf/state/wharffleet/peer.go
+++ b/wharf/state/wharffleet/peer.go
@@ -6,6 +6,10 @@
 	// silenceLimit is the time without a report after which a host's batch items count as running on: two reports of a
 	// large fleet, so that one may be lost.
 	silenceLimit = 1300 * time.Millisecond
+	// lostLimit is the time without a report after which a host's loads end: by then its endpoints have finished its online
+	// requests and most of its batch items. A host that is only cut off or slow reports again; until then the endpoints'
+	// own slots bound what is placed beside its requests.
+	lostLimit = 5 * time.Second
 	// silenceCheckInterval is the time between two looks for silent hosts.
 	silenceCheckInterval = 100 * time.Millisecond
 )
@@ -80,6 +84,9 @@
 // addPeerLoad counts a request of another host at an endpoint until that host reports its load itself.
 func (f *Fleet) addPeerLoad(host string, e *entry, batch bool) {
 	p := f.peer(host)
+	if len(p.loads) == 0 {
+		p.reported = time.Now() // a host without loads need not have reported for a while
+	}
 	load := p.loads[e.ID]
 	load.Endpoint = e.ID
 	load.add(batch, 1)
@@ -87,7 +94,7 @@
 	e.announcement.grant(host, time.Now())
 }
 
-// Forget drops the loads of a host that has ended.
+// Forget drops the loads of a host that has ended. Those of a host that is never heard of again end by themselves.
 func (f *Fleet) Forget(host string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -118,14 +125,18 @@
 	}
 }
 
-// checkSilence finds the hosts that have not reported for silenceLimit, at most once per silenceCheckInterval.
+// checkSilence finds the hosts that have not reported for silenceLimit, and drops the loads of those that have not for
+// lostLimit, at most once per silenceCheckInterval.
 func (f *Fleet) checkSilence(now time.Time) {
 	if now.Sub(f.lastSilenceCheck) < silenceCheckInterval {
 		return
 	}
 	f.lastSilenceCheck = now
-	for _, p := range f.peers {
-		if now.Sub(p.reported) >= silenceLimit {
+	for host, p := range f.peers {
+		switch silence := now.Sub(p.reported); {
+		case silence >= lostLimit:
+			f.forget(host)
+		case silence >= silenceLimit:
 			f.setSilent(p, true)
 		}
 	}
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -81,6 +81,7 @@
 func (f *Fleet) ZoneLoads(excluded func(host string) bool) []Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.checkSilence(time.Now())
 	var skipped []map[string]Load
 	for host, p := range f.peers {
 		if excluded(host) {
