--- a/wagtailwharfd/wharfhost/jobs_test.go
+++ b/wagtailwharfd/wharfhost/jobs_test.go
@@ -117,6 +117,30 @@
 	}
 }
 
+// TestResultsOfAnOutageAreListed guards against results that wait for one write which is larger than the store takes, and that
+// are then never listed (review/2).
+func TestResultsOfAnOutageAreListed(t *testing.T) {
+	c := newCluster(t, 2, 6)
+	jobs := []string{"long", "longer"}
+	for i, job := range jobs {
+		assert.Equal(t, c.submit(c.hosts[i], job, 200).Status, http.StatusAccepted)
+	}
+	c.store.SetFault(func(string) error { return wharfrecords.ErrUnavailable })
+	c.await("all items have run", func() bool {
+		runs := 0
+		for _, e := range c.endpoints {
+			runs += len(e.Runs())
+		}
+		return runs >= 200*len(jobs)
+	})
+	time.Sleep(500 * time.Millisecond)
+	c.store.SetFault(nil)
+	for _, job := range jobs {
+		c.assertJob(c.hosts[0], job, 200)
+	}
+	assert.Equal(t, c.store.Rejected(), int64(0))
+}
+
 func TestJobsOverTheLimitsAreRefused(t *testing.T) {
 	c := newCluster(t, 2, 1)
 	c.endpoints[0].EventTime = time.Second
--- a/wharf/coordination/wharfjobrunner/finish.go
+++ b/wharf/coordination/wharfjobrunner/finish.go
@@ -150,7 +150,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, aj := range r.jobs {
-		if aj.writing || len(aj.pendingResults) == 0 {
+		if aj.writing || len(aj.pendingResults) == 0 || time.Now().Before(aj.writeAfter) {
 			continue
 		}
 		complete := len(aj.job.ResultOrder)+len(aj.pendingResults) >= len(aj.job.ItemTokens)
@@ -177,17 +177,18 @@
 			"row-version", job.Version)
 		return
 	}
+	if updated.Version > aj.job.Version {
+		aj.job = updated
+	}
 	if err != nil {
-		aj.batchingSince = time.Now()
+		aj.writeBackoff = min(max(minWriteBackoff, 2*aj.writeBackoff), maxWriteBackoff)
+		aj.writeAfter = time.Now().Add(aj.writeBackoff)
 		klog.InfoS("failed to write results; retrying", "request-id", job.ID, "results", len(pending),
 			"error", err.Error())
 		return
 	}
 	aj.pendingResults = aj.pendingResults[len(pending):]
-	aj.batchingSince = time.Now()
-	if updated.Version > aj.job.Version {
-		aj.job = updated
-	}
+	aj.batchingSince, aj.writeBackoff = time.Now(), 0
 	klog.InfoS("results written", "request-id", job.ID, "organisation", job.Organisation, "results", len(pending),
 		"listed", len(updated.ResultOrder), "items", len(updated.ItemTokens), "row-version", updated.Version)
 }
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -32,6 +32,10 @@
 	timePerTokenSmoothing = 0.9
 	// resultBatchDelay is how long results wait for others, so that one transaction writes several.
 	resultBatchDelay = 200 * time.Millisecond
+	// minWriteBackoff is the pause after results could not be written. It doubles with each further failure, up to
+	// maxWriteBackoff, a small part of the time in which results are due after an outage.
+	minWriteBackoff = 100 * time.Millisecond
+	maxWriteBackoff = 800 * time.Millisecond
 	// retryDelay is the minimum time that an item waits after an attempt that failed; a preempted item does not wait.
 	retryDelay = 150 * time.Millisecond
 	// minDisconnectBackoff is the backoff of an item after the first lost connection. It grows fourfold with each
--- a/wharf/coordination/wharfjobrunner/task.go
+++ b/wharf/coordination/wharfjobrunner/task.go
@@ -44,6 +44,8 @@
 	writing        bool
 	pendingResults []pendingResult // not written to the store yet
 	batchingSince  time.Time       // start of the resultBatchDelay for pendingResults
+	writeAfter     time.Time       // no write before, after one that failed
+	writeBackoff   time.Duration
 }
 
 // item is the run state of one item of a job.
--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -21,11 +21,12 @@
 
 // update applies edit to a job's row and retries on conflicts, starting from the row's newer version. The row's
 // TransactionID tells whether a transaction with a lost reply was applied, unless another one has followed. It returns
-// edit's error if edit refuses the change, or ErrUnknown if a lost transaction may have made it.
+// edit's error if edit refuses the change, ErrRejected if the store does, or ErrUnknown if a lost transaction may have made
+// the change.
 func (s *Store) update(ctx context.Context, job Job, edit func(j *Job) ([]wharfrecords.Row, error)) (Job, error) {
 	id := uuid.NewString()
 	replyLost := false
-	for {
+	for pause := minBackoff; ; pause = min(2*pause, maxBackoff) {
 		next := job
 		rows, err := edit(&next)
 		if err != nil && replyLost {
@@ -40,7 +41,7 @@
 			return next, nil
 		}
 		replyLost = replyLost || errors.Is(err, wharfrecords.ErrUnknown)
-		if errors.Is(err, wharfrecords.ErrUnavailable) {
+		if errors.Is(err, wharfrecords.ErrUnavailable) || errors.Is(err, wharfrecords.ErrRejected) {
 			return job, err
 		}
 		seen, err := s.Fetch(ctx, job.Organisation, job.ID)
@@ -51,6 +52,12 @@
 			return seen, nil // the reply was lost
 		}
 		job = seen
+		if !wharfpause.For(ctx, rand.N(pause)) {
+			if replyLost {
+				return job, wharfrecords.ErrUnknown
+			}
+			return job, wharfrecords.ErrUnavailable
+		}
 	}
 }
 
@@ -75,39 +82,73 @@
 	return nil
 }
 
-// AppendResults appends results of items that have none yet. It returns ErrOwnershipLost if this host no longer owns
-// the job.
+// AppendResults appends results of items that have none yet, in as many transactions as the store needs. An item whose output
+// the store rejects is given up. AppendResults returns the job after the last transaction that succeeded, and
+// ErrOwnershipLost if this host no longer owns the job.
 func (s *Store) AppendResults(ctx context.Context, job Job, results []wharftask.Result) (Job, error) {
-	return s.update(ctx, job, func(next *Job) ([]wharfrecords.Row, error) {
-		if next.Cancelled || next.Owner != s.options.Host || next.Incarnation != s.options.Incarnation {
-			return nil, ErrOwnershipLost
+	for maxRows := maxTransactionRows; len(results) > 0; {
+		written := 0
+		updated, err := s.update(ctx, job, func(next *Job) ([]wharfrecords.Row, error) {
+			if next.Cancelled || next.Owner != s.options.Host || next.Incarnation != s.options.Incarnation {
+				return nil, ErrOwnershipLost
+			}
+			rows, taken, err := s.resultRows(ctx, next, results, maxRows)
+			written = taken
+			return rows, err
+		})
+		switch {
+		case errors.Is(err, wharfrecords.ErrRejected) && maxRows > 1:
+			maxRows /= 2
+			continue
+		case errors.Is(err, wharfrecords.ErrRejected):
+			klog.ErrorS(err, "result of batch item can't be stored", "request-id", results[0].ItemID, "job", job.ID,
+				"organisation", job.Organisation, "completed", results[0].Completed, "bytes", len(results[0].Output))
+			replacement := []wharftask.Result{{ItemID: results[0].ItemID, Reason: "its output can't be stored"}}
+			if !results[0].Completed {
+				replacement = nil // it stays unlisted, and must not hold up the others
+			}
+			results = slices.Concat(replacement, results[1:])
+			continue
+		case err != nil:
+			return updated, err
 		}
-		return s.resultRows(ctx, next, results)
-	})
+		job, results = updated, results[written:]
+		maxRows = maxTransactionRows
+	}
+	return job, nil
 }
 
-// resultRows returns the rows of results that the job does not list yet, and appends their items to the job's list.
-func (s *Store) resultRows(ctx context.Context, next *Job, results []wharftask.Result) ([]wharfrecords.Row, error) {
+// resultRows returns the rows of results that the job does not list yet, as many as one transaction may have, and appends
+// their items to the job's list. It also returns how many results these rows and those that are listed already make up.
+func (s *Store) resultRows(
+	ctx context.Context, next *Job, results []wharftask.Result, maxRows int,
+) (rows []wharfrecords.Row, taken int, err error) {
 	items, err := s.Items(ctx, next)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	var rows []wharfrecords.Row
 	listed := append([]uint8(nil), next.ResultOrder...)
+	size := 0
 	for _, result := range results {
 		item := itemIndex(items, result.ItemID)
-		if item < 0 || next.HasResult(item) {
+		if item < 0 || slices.Contains(listed, uint8(item)) {
+			taken++
 			continue
 		}
 		row, err := s.resultRow(ctx, next, len(listed), result)
-		if err != nil {
-			return nil, err
+		if err != nil && len(rows) == 0 {
+			return nil, 1, err
+		}
+		size += len(row.Value)
+		if err != nil || len(rows) == maxRows || len(rows) > 0 && size > maxTransactionBytes {
+			break
 		}
 		rows = append(rows, row)
 		listed = append(listed, uint8(item))
+		taken++
 	}
 	next.ResultOrder = listed
-	return rows, nil
+	return rows, taken, nil
 }
 
 // resultRow returns the row of a result, after storing an output of more than maxInlineBytes as an object.
@@ -122,6 +163,9 @@
 		err := s.retry(ctx, func(ctx context.Context) error {
 			return s.options.Records.PutObject(ctx, stored.Object, []byte(result.Output))
 		})
+		if errors.Is(err, wharfrecords.ErrRejected) {
+			return wharfrecords.Row{}, err
+		}
 		if err != nil && !errors.Is(err, wharfrecords.ErrExists) {
 			return wharfrecords.Row{}, wharfrecords.ErrUnavailable
 		}
@@ -168,18 +212,32 @@
 	})
 }
 
-// Release gives up ownership of a job, so that another host can adopt it, and stores the progress of its items.
+// Release gives up ownership of a job, so that another host can adopt it, and stores the progress of its items, in as many
+// transactions as the store needs. Ownership ends with the last one.
 func (s *Store) Release(ctx context.Context, job Job, progress []wharftask.Progress) error {
-	_, err := s.update(ctx, job, func(next *Job) ([]wharfrecords.Row, error) {
-		if !next.Pending() || next.Owner != s.options.Host || next.Incarnation != s.options.Incarnation {
-			return nil, ErrOwnershipLost
+	rows := progressRows(&job, progress)
+	for {
+		count := min(len(rows), maxTransactionRows)
+		updated, err := s.update(ctx, job, func(next *Job) ([]wharfrecords.Row, error) {
+			if !next.Pending() || next.Owner != s.options.Host || next.Incarnation != s.options.Incarnation {
+				return nil, ErrOwnershipLost
+			}
+			next.HandedOver = next.HandedOver || count > 0
+			if count == len(rows) {
+				next.Owner, next.Incarnation = "", 0
+			}
+			return rows[:count], nil
+		})
+		if errors.Is(err, wharfrecords.ErrRejected) && count > 0 {
+			klog.ErrorS(err, "progress of batch items can't be stored; they start again", "request-id", job.ID, "items", len(rows))
+			rows = nil
+			continue
 		}
-		next.Owner, next.Incarnation = "", 0
-		rows := progressRows(next, progress)
-		next.HandedOver = next.HandedOver || len(rows) > 0
-		return rows, nil
-	})
-	return err
+		if err != nil || count == len(rows) {
+			return err
+		}
+		job, rows = updated, rows[count:]
+	}
 }
 
 func progressRows(job *Job, progress []wharftask.Progress) []wharfrecords.Row {
@@ -256,7 +314,7 @@
 	}
 	page, err := retryWithResult(ctx, s, func(ctx context.Context) (wharfrecords.Page, error) {
 		return s.options.Records.Read(ctx, wharfrecords.Range{
-			Table: resultTable, Part: partFor(job.Organisation), From: resultKey(job.Key(), after), To: job.Key() + "0",
+			Table: resultTable, Part: partFor(job.Organisation), From: resultKey(job.Key(), after), To: resultKey(job.Key(), len(job.ResultOrder)),
 		})
 	})
 	if err != nil {
@@ -330,7 +388,7 @@
 		Deletes:    []wharfrecords.Row{{Table: jobTable, Key: job.Key()}},
 	}
 	for {
-		count := min(len(rows), maxDeletedRows)
+		count := min(len(rows), maxTransactionRows)
 		transaction.Deletes = append(transaction.Deletes, rows[:count]...)
 		if _, err := s.options.Records.Commit(ctx, transaction); err != nil {
 			return err
@@ -373,6 +431,10 @@
 	return page.Rows, err
 }
 
-// maxDeletedRows is the number of rows that one transaction deletes besides the job's row: a transaction has at most
-// 100 entries.
-const maxDeletedRows = 90
+const (
+	// maxTransactionRows is the number of rows that one transaction writes or deletes besides the job's row and its condition:
+	// known platforms take at most 100 entries.
+	maxTransactionRows = 90
+	// maxTransactionBytes bounds the values of these rows. Known platforms take 1 MB, and encoding adds a third to the size.
+	maxTransactionBytes = 600 << 10
+)
--- a/wharf/coordination/wharfjobstore/store.go
+++ b/wharf/coordination/wharfjobstore/store.go
@@ -181,6 +181,9 @@
 	if errors.Is(err, wharfrecords.ErrExists) {
 		return nil // stored by an earlier attempt of the same submission
 	}
+	if errors.Is(err, wharfrecords.ErrRejected) {
+		return err
+	}
 	if err != nil {
 		return wharfrecords.ErrUnavailable // an object without a job row has no effect
 	}
--- a/wharf/coordination/wharfrecords/records.go
+++ b/wharf/coordination/wharfrecords/records.go
@@ -18,6 +18,9 @@
 	ErrHistoryDropped = errors.New("the store has dropped the requested changes")
 	// ErrNotFound is returned when an object does not exist.
 	ErrNotFound = errors.New("object not found")
+	// ErrRejected is returned when the store refuses a call for what it contains, such as too many rows; it had no effect,
+	// and the same call never has.
+	ErrRejected = errors.New("the store rejects the call")
 	// ErrExists is returned when an object with that name exists already.
 	ErrExists = errors.New("object already exists")
 )
@@ -68,8 +71,8 @@
 type Store interface {
 	// Read returns a consistent snapshot of the rows of a range, in key order.
 	Read(ctx context.Context, r Range) (Page, error)
-	// Commit applies a transaction and returns a page with its version. Its errors are ErrConflict, ErrUnavailable and
-	// ErrUnknown.
+	// Commit applies a transaction and returns a page with its version. Its errors are ErrConflict, ErrUnavailable,
+	// ErrUnknown and ErrRejected.
 	Commit(ctx context.Context, t Transaction) (Page, error)
 	// Changes returns the rows of a table that have changed after a version, and waits up to wait for the first. After
 	// ErrHistoryDropped the caller must read the whole table.
--- a/wharf/coordination/wharfrelay/store.go
+++ b/wharf/coordination/wharfrelay/store.go
@@ -67,10 +67,11 @@
 // Failure encodes a sentinel error of wharfrecords; zero means success.
 type Failure int
 
-// sentinelErrors holds the error of each Failure. Failures are sent to other hosts, so the order must not change.
+// sentinelErrors holds the error of each Failure. Failures are sent to other hosts, so the order must not change. Hosts of
+// older builds send errRelayFailed for the last two.
 var sentinelErrors = []error{
 	nil, wharfrecords.ErrConflict, wharfrecords.ErrUnavailable, wharfrecords.ErrUnknown, wharfrecords.ErrHistoryDropped,
-	wharfrecords.ErrNotFound, wharfrecords.ErrExists,
+	wharfrecords.ErrNotFound, wharfrecords.ErrExists, errRelayFailed, wharfrecords.ErrRejected,
 }
 
 func failureOf(err error) Failure {
@@ -80,7 +81,7 @@
 		}
 	}
 	if err != nil {
-		return Failure(len(sentinelErrors))
+		return relayFailed
 	}
 	return 0
 }
@@ -92,6 +93,9 @@
 	return errRelayFailed
 }
 
+// relayFailed is the Failure of errors that have none of their own.
+const relayFailed Failure = 7
+
 var errRelayFailed = errors.New("relayed store call failed")
 
 // Options configures a Store.
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -83,6 +83,8 @@
 		return q.withRetryAfter(errTooManyWaiting)
 	case errors.Is(err, wharfjobstore.ErrNotFound):
 		return errNoJob
+	case errors.Is(err, wharfrecords.ErrRejected):
+		return errTooLarge
 	case errors.Is(err, wharfrecords.ErrUnknown):
 		return errOutcomeUnknown
 	case errors.Is(err, wharfrecords.ErrUnavailable):
