--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -514,16 +514,20 @@
 		submit(t, a, "job", 120)
 		time.Sleep(110 * time.Second)
 		assertComplete(t, b, "job", 120)
+		job, err := b.jobs.Fetch(context.Background(), "org", "job")
+		assert.NilError(t, err)
+		_, err = store.GetObject(context.Background(), job.Object)
+		assert.NilError(t, err)
 		// A cleanup starts at most one interval after the retention.
 		time.Sleep(retentionMargin + 2*cleanupInterval + time.Second)
-		_, err := b.jobs.Fetch(context.Background(), "org", "job")
+		_, err = b.jobs.Fetch(context.Background(), "org", "job")
 		assert.Assert(t, errors.Is(err, wharfjobstore.ErrNotFound))
 		for _, table := range []string{"wharf-results", "wharf-progress"} {
 			parts, err := store.Parts(context.Background(), table)
 			assert.NilError(t, err)
 			assert.Equal(t, len(parts), 0, "table %s still has parts", table)
 		}
-		_, err = store.GetObject(context.Background(), "wharf-items-org-job")
+		_, err = store.GetObject(context.Background(), job.Object)
 		assert.Assert(t, errors.Is(err, wharfrecords.ErrNotFound))
 		a.kill()
 		b.kill()
--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
@@ -157,8 +155,7 @@
 ) (wharfrecords.Row, error) {
 	stored := resultRow{Result: result}
 	if len(result.Output) > maxInlineBytes {
-		stored.Object = fmt.Sprintf("wharf-output-%s-%x", escapeKey(job.ID),
-			xxhash.Sum64String(result.ItemID+result.Output))
+		stored.Object = outputObject(job, result.ItemID, []byte(result.Output))
 		stored.Output = ""
 		err := s.retry(ctx, func(ctx context.Context) error {
 			return s.options.Records.PutObject(ctx, stored.Object, []byte(result.Output))
--- a/wharf/coordination/wharfjobstore/limits_test.go
+++ b/wharf/coordination/wharfjobstore/limits_test.go
@@ -76,3 +76,33 @@
 		assert.Equal(t, len(stored), len(progress))
 	})
 }
+
+// TestJobsHaveObjectsOfTheirOwn guards against jobs of two organisations whose objects have one name, so that one organisation
+// gets the items or outputs of the other, or loses its own with the other's job (review/3).
+func TestJobsHaveObjectsOfTheirOwn(t *testing.T) {
+	runWithStore(t, func(ctx context.Context, memory *wharfmemorystore.Store) {
+		accepting, reading := newStore(memory, "a"), newStore(memory, "b")
+		names := [][2]string{{"tema-nightly", "2026"}, {"tema", "nightly-2026"}, {"tema", "2026"}, {"tema-nightly", "nightly-2026"}}
+		var jobs []Job
+		for i, name := range names {
+			s := Submission{Organisation: name[0], ID: name[1], Route: "r", Host: "h", Items: items(1, 100)}
+			s.Items[0].Body = []byte{byte(i)}
+			assert.NilError(t, accepting.Submit(ctx, s))
+			job, err := accepting.Fetch(ctx, name[0], name[1])
+			assert.NilError(t, err)
+			output := strings.Repeat("x", maxInlineBytes+1) // the same for all
+			job, err = accepting.AppendResults(ctx, job, []wharftask.Result{{ItemID: "item-0", Completed: true, Output: output}})
+			assert.NilError(t, err)
+			jobs = append(jobs, job)
+		}
+		for i, job := range jobs {
+			stored, err := reading.Items(ctx, &job)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, stored[0].Body, []byte{byte(i)})
+			page, err := reading.Results(ctx, job, 0, 1)
+			assert.NilError(t, err)
+			assert.Equal(t, len(page.Results[0].Output), maxInlineBytes+1)
+			assert.NilError(t, reading.Remove(ctx, job))
+		}
+	})
+}
--- a/wharf/coordination/wharfjobstore/rows.go
+++ b/wharf/coordination/wharfjobstore/rows.go
@@ -1,10 +1,7 @@
 package wharfjobstore
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
-	"regexp"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +9,7 @@
 
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfkey"
 	"wagtailwharf.example/wharf/state/wharftask"
 )
 
@@ -30,29 +28,28 @@
 	maxProgressBytes = 500 << 10
 )
 
-var safeKey = regexp.MustCompile(`^[A-Za-z0-9_.-]{1,80}$`)
-
-// escapeKey returns text if it is safe as a part of a key, and otherwise "x-" and its hash.
-func escapeKey(text string) string {
-	if safeKey.MatchString(text) {
-		return text
-	}
-	sum := sha256.Sum256([]byte(text))
-	return "x-" + hex.EncodeToString(sum[:])
-}
-
 func partFor(organisation string) string {
 	return strconv.FormatUint(xxhash.Sum64String(organisation)%partCount, 10)
 }
 
 func jobKey(organisation, id string) string {
-	return escapeKey(organisation) + "/" + escapeKey(id)
+	return wharfkey.Join(organisation, id)
 }
 
 // admissionKey returns the key of an organisation's admission row, which every submission changes, so that submissions
 // are serialized. It sorts before the organisation's jobs.
 func admissionKey(organisation string) string {
-	return escapeKey(organisation) + "/"
+	return wharfkey.Escape(organisation) + "/"
+}
+
+// itemsObject returns the name of the object that holds a submission's items.
+func itemsObject(organisation, id string, data []byte) string {
+	return "wharf-items-" + wharfkey.Hash(data, organisation, id)
+}
+
+// outputObject returns the name of the object that holds the output of an item.
+func outputObject(job *Job, itemID string, output []byte) string {
+	return "wharf-output-" + wharfkey.Hash(output, job.Organisation, job.ID, itemID)
 }
 
 func resultKey(job string, position int) string {
--- a/wharf/coordination/wharfjobstore/store.go
+++ b/wharf/coordination/wharfjobstore/store.go
@@ -152,9 +152,10 @@
 // Submit accepts a job idempotently: submitting a job that exists already has no effect. ErrWaitingLimit and
 // ErrUnavailable guarantee that no item of the job runs; ErrUnknown does not.
 func (s *Store) Submit(ctx context.Context, sub Submission) error {
-	object := "wharf-items-" + escapeKey(sub.Organisation) + "-" + escapeKey(sub.ID)
+	data := encode(sub.Items)
+	object := itemsObject(sub.Organisation, sub.ID, data)
 	stored := make(chan error, 1)
-	go func() { stored <- s.storeItems(ctx, object, sub.Items) }()
+	go func() { stored <- s.storeItems(ctx, object, data) }()
 	unknown := false
 	for {
 		err := s.trySubmit(ctx, sub, object, stored)
@@ -173,13 +174,12 @@
 	}
 }
 
-func (s *Store) storeItems(ctx context.Context, object string, items []wharfcall.Item) error {
-	data := encode(items)
+func (s *Store) storeItems(ctx context.Context, object string, data []byte) error {
 	err := s.retry(ctx, func(ctx context.Context) error {
 		return s.options.Records.PutObject(ctx, object, data)
 	})
 	if errors.Is(err, wharfrecords.ErrExists) {
-		return nil // stored by an earlier attempt of the same submission
+		return nil // stored by an earlier attempt: the name depends on the items
 	}
 	if errors.Is(err, wharfrecords.ErrRejected) {
 		return err
--- a/wharf/coordination/wharforigins/origins.go
+++ b/wharf/coordination/wharforigins/origins.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/coordination/wharfreleases"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfkey"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfrank"
 	"wagtailwharf.example/wharf/state/wharfroute"
@@ -26,9 +27,7 @@
 	// maxRowsPerWrite is the largest number of rows in one transaction on known platforms.
 	maxRowsPerWrite = 100
 	// maxPending bounds the records that wait for a write to one part. More than that are not written.
-	maxPending = 500
-	// maxKeyBytes is the longest key that known platforms take.
-	maxKeyBytes  = 200
+	maxPending   = 500
 	writeTimeout = 2 * time.Second
 	// recordWait is how long an event is held back at most, about half of the time in which an event may be passed on late.
 	recordWait = 50 * time.Millisecond
@@ -90,10 +89,10 @@
 
 // keyOf returns the key and the part of a stream's record. ok is false if there can be none.
 func keyOf(organisation, stream string) (key string, index int, ok bool) {
-	key = organisation + "/" + stream
-	if stream == "" || len(key) > maxKeyBytes {
+	if stream == "" {
 		return "", 0, false
 	}
+	key = wharfkey.Join(organisation, stream)
 	return key, int(xxhash.Sum64String(key) % partCount), true
 }
 
--- a/wharf/coordination/wharfreleases/releases.go
+++ b/wharf/coordination/wharfreleases/releases.go
@@ -15,6 +15,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfkey"
 	"wagtailwharf.example/wharf/state/wharfrank"
 )
 
@@ -199,7 +200,7 @@
 // that wraps ErrNotKnown if there are several, none, or no answer.
 func (r *Releases) Only(ctx context.Context, service string) (string, error) {
 	page, err := wharfrecords.ReadAll(ctx, r.options.Store, wharfrecords.Range{
-		Table: table, From: rowKey(wharfcall.Origin{Service: service}), To: service + "0", // "0" follows "/"
+		Table: table, From: wharfkey.Escape(service) + "/", To: wharfkey.Escape(service) + "0", // "0" follows "/"
 	})
 	if err != nil {
 		return "", errors.Join(ErrNotKnown, err)
@@ -224,7 +225,7 @@
 }
 
 func rowKey(origin wharfcall.Origin) string {
-	return origin.Service + "/" + origin.Version
+	return wharfkey.Join(origin.Service, origin.Version)
 }
 
 func decode(stored wharfrecords.Row) (row, error) {
