Outputs of all batch items under way share a bound of memory

Operators' report: a faulty worker sent bytes without end and the machine that had called it ran out of memory. Bounds held for each attempt (4 MB of an item's output), not for the sum of a host's.

Change: outputs of attempts under way take an eighth of the host's memory; an item has no more events than tokens, checked as they arrive.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -146,7 +146,7 @@
 		Incarnation: h.incarnation,
 		Jobs:        h.jobs,
 		Fleet:       h.fleet,
-		Executor:    wharfjobexecutor.New(forwarder),
+		Executor:    wharfjobexecutor.New(forwarder, h.settings.MemoryMB<<20/outputShare),
 		Table:       h.table,
 		Peers:       h.gossip.Peers,
 		Allocator:   h.allocator,
@@ -186,6 +186,9 @@
 	return 0
 }
 
+// outputShare is the part of a host's memory, one in outputShare, that the outputs of running batch items take at most.
+const outputShare = 8
+
 const (
 	// headerTimeout bounds the time to read a request header and maxHeaderBytes its size. Both exceed the limits that a
 	// configuration may set.
--- a/wharf/coordination/wharfjobrunner/finish.go
+++ b/wharf/coordination/wharfjobrunner/finish.go
@@ -31,9 +31,8 @@
 		outcome.Text, outcome.Events = nil, 0 // what came before the nonsense may be nonsense too
 	}
 	i.text = append(i.text, outcome.Text...)
-	if overlong := i.overlong(outcome); overlong != "" {
-		i.startAgain(overlong)
-		outcome.Outcome = wharfoutcome.Malformed
+	if outcome.Overlong {
+		i.startAgain("the output is longer than that of the item can be")
 	} else if outcome.Events > 0 {
 		i.lastEvent = outcome.LastEvent
 		i.events += outcome.Events
@@ -51,18 +50,6 @@
 		"error", reason)
 }
 
-// overlong returns why an item's output can not be its own after an attempt, or "". Each event has at least one of the tokens
-// that the item may have.
-func (i *item) overlong(outcome Outcome) string {
-	switch {
-	case outcome.Overlong:
-		return "more bytes than an output may have"
-	case i.Tokens > 0 && i.events+outcome.Events > int(i.Tokens):
-		return "more events than the item has tokens"
-	}
-	return ""
-}
-
 // handleOutcome completes, fails or reschedules an item after an attempt and returns which of them, for the log. The
 // caller holds r.mu.
 func (r *Runner) handleOutcome(
--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -205,6 +205,15 @@
 	return true
 }
 
+// eventsLeft returns how many events the item may still have, or 0 if that is not known. Each has at least one of the tokens
+// that the item may have.
+func (i *item) eventsLeft() int {
+	if i.Tokens <= 0 {
+		return 0
+	}
+	return max(1, int(i.Tokens)-i.events)
+}
+
 func (r *Runner) newTask(route *wharfroute.Route, i *item, placement *wharffleet.Placement) *Task {
 	job := &i.job.job
 	left := job.AcceptedAt + route.MaxWait - r.options.Jobs.Now()
@@ -229,5 +238,6 @@
 		Placement: placement,
 		Route:     route,
 		MaxBytes:  maxOutputBytes - len(i.text),
+		MaxEvents: i.eventsLeft(),
 	}
 }
--- a/wharf/coordination/wharfjobrunner/task.go
+++ b/wharf/coordination/wharfjobrunner/task.go
@@ -18,6 +18,7 @@
 	Placement *wharffleet.Placement
 	Route     *wharfroute.Route
 	MaxBytes  int // that the item's output may still grow by
+	MaxEvents int // that the item may still have, 0 for no bound
 }
 
 // Outcome is the result of an attempt.
@@ -28,7 +29,7 @@
 	Text      []byte // data of the events, one line each
 	LastEvent int    // number of the last event
 	Events    int
-	Overlong  bool // the endpoint sent more than Task.MaxBytes, which says that the output is not that of the item
+	Overlong  bool // the endpoint sent more than the task allows, so that the output is not that of the item
 }
 
 // Executor runs attempts. When ctx ends, Execute stops and returns the output so far.
--- a/wharf/transport/wharfjobexecutor/executor.go
+++ b/wharf/transport/wharfjobexecutor/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"wagtailwharf.example/wharf/coordination/wharfjobrunner"
@@ -22,26 +23,37 @@
 	eventGapTimeout = 2 * time.Second
 )
 
+// smallOutputBytes is the size up to which an attempt's output is kept whatever the outputs of all attempts take: most outputs
+// are far smaller.
+const smallOutputBytes = 64 << 10
+
 // errOverlong means that an endpoint sent more than an item can have.
 var errOverlong = errors.New("output of the item is too long")
 
 // Executor makes attempts at batch items. It implements wharfjobrunner.Executor.
 type Executor struct {
 	forwarder *wharfforwarder.Forwarder
+	budget    int64        // bytes that the outputs of all attempts under way may take
+	taken     atomic.Int64 // bytes that they take
 }
 
-// New returns an executor that sends items through forwarder.
-func New(forwarder *wharfforwarder.Forwarder) *Executor {
-	return &Executor{forwarder: forwarder}
+// New returns an executor that sends items through forwarder. The outputs of all attempts under way take about budget bytes at
+// most.
+func New(forwarder *wharfforwarder.Forwarder, budget int64) *Executor {
+	return &Executor{forwarder: forwarder, budget: budget}
 }
 
 // collector is a response sink that joins the data of events.
 type collector struct {
-	status   int
-	text     []byte
-	maxBytes int
-	overlong bool
-	events   int // in this attempt, plus 1 if it resumes an earlier one
+	executor  *Executor
+	status    int
+	text      []byte
+	maxBytes  int
+	maxEvents int   // 0 for no bound
+	received  int   // events of this attempt
+	counted   int64 // bytes that are counted in executor.taken
+	overlong  bool
+	events    int // in this attempt, plus 1 if it resumes an earlier one
 }
 
 // WriteHeader records the status.
@@ -55,7 +67,8 @@
 	if !e.HasData {
 		return nil
 	}
-	if len(c.text)+len(e.Raw) > c.maxBytes {
+	c.received++
+	if !c.takes(len(e.Raw)) {
 		c.overlong = true
 		return errOverlong
 	}
@@ -67,6 +80,16 @@
 	return nil
 }
 
+// takes reports whether the output may grow by an event of a size, and counts it if so.
+func (c *collector) takes(size int) bool {
+	if c.maxEvents > 0 && c.received > c.maxEvents || len(c.text)+size > c.maxBytes {
+		return false
+	}
+	taken := c.executor.taken.Add(int64(size))
+	c.counted += int64(size)
+	return taken <= c.executor.budget || len(c.text)+size <= smallOutputBytes
+}
+
 // WriteBody ignores bodies that are not event streams.
 func (c *collector) WriteBody([]byte) error {
 	return nil
@@ -74,7 +97,8 @@
 
 // Execute makes one attempt at an item.
 func (e *Executor) Execute(ctx context.Context, task *wharfjobrunner.Task) wharfjobrunner.Outcome {
-	c := &collector{maxBytes: task.MaxBytes}
+	c := &collector{executor: e, maxBytes: task.MaxBytes, maxEvents: task.MaxEvents}
+	defer func() { e.taken.Add(-c.counted) }()
 	if task.Attempt.Resumes {
 		c.events = 1
 	}
