Take-ups are placed only on endpoints that are known to be current

Cause: the version of an endpoint is that of the host's copy of its registration. An endpoint that started again with another version under its earlier ID got streams of the version before from a host that had missed it. Joining endpoints with new IDs are not affected: take-ups read versions and records from the store.

Change: a take-up needs endpoints known as of the last 2 s; a placement at a version is checked against the registration.

Test without the check (TestTakeUpAtAHostOutOfStepIsRefused): versions_test.go:141: assertion failed: len(versions) is greater than 1: stream s holds events of map[v1:true v2:true] After: ok.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -156,6 +156,7 @@
 		Dialect:          wharfwire.New(),
 		Table:            h.table,
 		ConfigurationAge: h.directory.Age,
+		EndpointsAge:     h.directory.EndpointsAge,
 		Limiter:          h.limiter,
 		Gate:             h.gate,
 		Allocator:        h.allocator,
--- a/wagtailwharfd/wharfhost/versions_test.go
+++ b/wagtailwharfd/wharfhost/versions_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"wagtailwharf.example/platform/wharfstandin"
+	"wagtailwharf.example/wharf/coordination/wharfrecords"
 )
 
 // newMixedCluster starts a cluster whose endpoints have two versions in turn and stream slowly.
@@ -117,6 +118,31 @@
 	assert.Check(t, 2*wentOn >= taken, "%d of %d streams taken up went on", wentOn, taken)
 }
 
+// TestTakeUpAtAHostOutOfStepIsRefused guards against a stream that goes on at another version because the host that takes it up
+// has missed that an endpoint started again with that version.
+func TestTakeUpAtAHostOutOfStepIsRefused(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	e := c.endpoints[0]
+	e.SetFaults(wharfstandin.Faults{BreakRate: 1})
+	broken := c.send(c.hosts[0], keyA, http.MethodPost, "/resume/x", "s", "s")
+	last := wharfstandin.LastEvent(broken.Body)
+	assert.Assert(t, broken.Err != nil && last > 0)
+	c.store.SetFault(func(call string) error {
+		if call == "changes" {
+			return wharfrecords.ErrUnavailable
+		}
+		return nil
+	})
+	c.await("the host's endpoints are old", func() bool { return c.hosts[0].directory.EndpointsAge() > 5*time.Second })
+	e.SetFaults(wharfstandin.Faults{})
+	e.Version = "v2"
+	assert.NilError(t, e.Register("ready"))
+	response := wharfstandin.NewCaller(callerHost, keyA).TakeUp(t.Context(), c.hosts[0].address(), "/resume/x", "again", "s", last)
+	c.assertNotJoined("s", "again")
+	assert.Equal(t, response.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, response.RetryAfter > 0)
+}
+
 func TestBatchItemStaysAtTheVersionOfItsProgress(t *testing.T) {
 	c := newMixedCluster(t, 2, 4)
 	for _, e := range c.endpoints {
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -115,6 +115,13 @@
 	return time.Since(d.configurationSync.confirmedAt)
 }
 
+// EndpointsAge returns the time since the store, directly or through a peer, last confirmed the endpoints.
+func (d *Directory) EndpointsAge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.endpointSync.confirmedAt)
+}
+
 // Snapshot returns the current state for a peer.
 func (d *Directory) Snapshot() Snapshot {
 	d.mu.Lock()
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -145,6 +145,13 @@
 	p.fleet.addLoad(p.entry, p.batch, -1)
 }
 
+// Registered reports whether the endpoint is still registered as it was when the request was placed.
+func (p *Placement) Registered() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.entries[p.Endpoint.ID] == p.entry && p.entry.Version == p.Endpoint.Version
+}
+
 // endProbe lets another request probe the endpoint if this one did.
 func (p *Placement) endProbe() {
 	if p.probe {
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -123,6 +123,10 @@
 			o.server.options.Gate.Release(placement, o.service)
 			return o.refuseBlocked(verdict)
 		}
+		if !o.versionKnown(placement) {
+			o.server.options.Gate.Release(placement, o.service)
+			return o.refuseUnknownVersion()
+		}
 		result := o.tryEndpoint(ctx, placement)
 		o.server.options.Gate.Release(placement, o.service)
 		if result.Outcome == 0 {
@@ -146,6 +150,22 @@
 	}
 }
 
+// versionKnown reports whether the endpoint of a placement is certain to have the version that a stream goes on at: this host
+// may have been suspended, or without the store, since it read the registration.
+func (o *online) versionKnown(placement *wharffleet.Placement) bool {
+	return o.version == "" || placement.Registered() &&
+		(!o.continues() || o.server.options.EndpointsAge() <= maxEndpointsAge)
+}
+
+// refuseUnknownVersion ends a stream whose next endpoint may have another version.
+func (o *online) refuseUnknownVersion() error {
+	if o.started {
+		return o.abortResponse("version of the endpoint not known")
+	}
+	klog.InfoS("version of endpoint not known", o.logFields("endpoints-age", o.server.options.EndpointsAge().String())...)
+	return o.withRetryAfter(errVersionUnknown)
+}
+
 // endpointLoad is the number of online requests and batch items that ran on an endpoint when a request was placed
 // there, and its number of slots.
 type endpointLoad struct {
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -34,6 +34,9 @@
 	defaultMaxBodyBytes = 4 << 20
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
+	// maxEndpointsAge is the age of what is known of the endpoints up to which a stream that a caller takes up is placed: an
+	// endpoint may have started again with another version since. It is longer than the store holds a poll without changes.
+	maxEndpointsAge = 2 * time.Second
 	// stoppingRetryAfter is the retry delay of a request that another host can serve at once.
 	stoppingRetryAfter = 10 * time.Millisecond
 )
@@ -89,6 +92,7 @@
 	Dialect          wharfdialect.Dialect
 	Table            func() *wharfroute.Table // nil until a configuration is known
 	ConfigurationAge func() time.Duration     // time since the configuration was last known to be current
+	EndpointsAge     func() time.Duration     // time since the endpoints were last known to be current
 	Limiter          *wharflimiter.Limiter
 	Gate             *wharfgate.Gate[*wharffleet.Placement]
 	Allocator        *wharfallocator.Allocator
