--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -51,14 +51,19 @@
 		}
 		job = seen
 		if !wharfpause.For(ctx, rand.N(pause)) {
-			if replyLost {
-				return job, wharfrecords.ErrUnknown
-			}
-			return job, wharfrecords.ErrUnavailable
+			return job, abandoned(replyLost)
 		}
 	}
 }
 
+// abandoned returns the error of a change that is not tried again.
+func abandoned(replyLost bool) error {
+	if replyLost {
+		return wharfrecords.ErrUnknown
+	}
+	return wharfrecords.ErrUnavailable
+}
+
 // commitUpdate makes one transaction and caches the job on success. After ErrConflict or ErrUnknown the caller must
 // read the row again.
 func (s *Store) commitUpdate(ctx context.Context, job Job, next *Job, rows []wharfrecords.Row) error {
