--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -123,9 +123,14 @@
 			o.server.options.Gate.Release(placement, o.service)
 			return o.refuseBlocked(verdict)
 		}
-		if !o.versionKnown(placement) {
+		if o.version != "" && !placement.Registered() {
 			o.server.options.Gate.Release(placement, o.service)
-			return o.refuseUnknownVersion()
+			continue // this host was suspended, and the endpoint may have another version since
+		}
+		if o.outOfStep() {
+			o.server.options.Gate.Release(placement, o.service)
+			klog.InfoS("endpoints not known to be current", o.logFields("age", o.server.options.EndpointsAge().String())...)
+			return o.withRetryAfter(errVersionUnknown)
 		}
 		result := o.tryEndpoint(ctx, placement)
 		o.server.options.Gate.Release(placement, o.service)
@@ -150,20 +155,10 @@
 	}
 }
 
-// versionKnown reports whether the endpoint of a placement is certain to have the version that a stream goes on at: this host
-// may have been suspended, or without the store, since it read the registration.
-func (o *online) versionKnown(placement *wharffleet.Placement) bool {
-	return o.version == "" || placement.Registered() &&
-		(!o.continues() || o.server.options.EndpointsAge() <= maxEndpointsAge)
-}
-
-// refuseUnknownVersion ends a stream whose next endpoint may have another version.
-func (o *online) refuseUnknownVersion() error {
-	if o.started {
-		return o.abortResponse("version of the endpoint not known")
-	}
-	klog.InfoS("version of endpoint not known", o.logFields("endpoints-age", o.server.options.EndpointsAge().String())...)
-	return o.withRetryAfter(errVersionUnknown)
+// outOfStep reports whether a stream that the caller takes up may be placed at another version, because this host has not
+// read the registrations lately.
+func (o *online) outOfStep() bool {
+	return o.continues() && !o.started && o.server.options.EndpointsAge() > maxEndpointsAge
 }
 
 // endpointLoad is the number of online requests and batch items that ran on an endpoint when a request was placed
