--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -224,6 +224,22 @@
 mutant any-number-of-slots platform/wharfcatalog/catalog.go \
 	's/ \|\| r\.Slots > maxSlots//' $host TestOddEntries
 mutant stop-drops-what-it-reads wagtailwharfd/wharfservice/service.go \
-	's/c\.Active == 0 && \(c\.New == 0 \|\|/c.Active < 100 \&\& (true ||/' ./wagtailwharfd/wharfservice TestRequestsThatHaveArrived
+	's/c\.New\+c\.Active\+c\.Idle == 0/c.Active < 100/' ./wagtailwharfd/wharfservice TestRequestsThatHaveArrived
+mutant stop-takes-all wharf/transport/wharffrontend/server.go \
+	's/time\.Until\(\*stopAt\) >= limit/true/' $host TestStreamThatFollowsAnotherInAPlannedStop
+mutant lost-hosts-hold-slots wharf/state/wharffleet/peer.go \
+	's/case silence >= lostLimit:/case false:/' $host TestSlotsOfLostHosts
+mutant unnumbered-events-taken wharf/transport/wharfforwarder/forwarder.go \
+	's/event\.HasNumber != event\.HasData \|\| //' ./wharf/transport/wharfforwarder TestBytesWithoutEndAreBounded
+mutant nonsense-kept wharf/coordination/wharfjobrunner/finish.go \
+	's/if outcome\.Outcome == wharfoutcome\.Malformed \{/if false {/' $host TestBytesWithoutEndAreNoPart
+mutant outputs-without-sum wharf/transport/wharfjobexecutor/executor.go \
+	's/return taken <= c\.executor\.budget \|\|/return taken >= 0 ||/' ./wharf/transport/wharfjobexecutor TestOutputsOfAll
+mutant one-large-write wharf/coordination/wharfjobstore/change.go \
+	's/len\(rows\) == maxRows \|\| len\(rows\) > 0 && size > maxTransactionBytes/false/' $book TestWritesKeepToTheLimits
+mutant objects-shared wharf/coordination/wharfjobstore/rows.go \
+	's/wharfkey\.Hash\(data, organisation, id\)/organisation + "-" + id/' $book TestJobsHaveObjects
+mutant stale-endpoints-take-streams-up wharf/transport/wharffrontend/online.go \
+	's/if o\.outOfStep\(\) \{/if false {/' $host TestTakeUpAtAHostOutOfStep
 
 exit $failed
--- a/wagtailwharfd/wharfhost/online_test.go
+++ b/wagtailwharfd/wharfhost/online_test.go
@@ -319,3 +319,28 @@
 		assert.Check(t, len(c.executions(id)) == 0, "%s has run", id)
 	}
 }
+
+// TestStreamThatFollowsAnotherInAPlannedStopIsRefused guards against a request that is taken when it can't end before the stop:
+// the stream before it has kept the connection from being closed.
+func TestStreamThatFollowsAnotherInAPlannedStopIsRefused(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.endpoints[0].EventTime = 450 * time.Millisecond
+	leaving := c.hosts[0]
+	var calls sync.WaitGroup
+	for i := range 3 {
+		caller := wharfstandin.NewCaller(callerHost, keyA)
+		calls.Go(func() {
+			first := caller.Send(context.Background(), leaving.address(), "POST", "/once/x", fmt.Sprint("first-", i), "")
+			assert.Check(t, first.Err == nil && first.Status == http.StatusOK, "%v", first.Err)
+			id := fmt.Sprint("second-", i)
+			second := caller.Send(context.Background(), leaving.address(), "POST", "/once/x", id, "")
+			assert.Check(t, second.Err == nil && second.Status == http.StatusServiceUnavailable, "%d, %v", second.Status, second.Err)
+			assert.Check(t, second.RetryAfter > 0 && second.Close && len(c.executions(id)) == 0)
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	leaving.Drain()
+	assert.NilError(t, <-leaving.done)
+	leaving.once.Do(func() {})
+	calls.Wait()
+}
--- a/wharf/transport/wharfforwarder/endless_test.go
+++ b/wharf/transport/wharfforwarder/endless_test.go
@@ -102,9 +102,10 @@
 		"trailer": {
 			chunkedHead + "d\r\nid: 1\ndata:1\n\r\n1\r\n\n\r\n0\r\nX: ", strings.Repeat("x", block), true, wharfoutcome.Malformed,
 		},
-		"line feeds": {ownHead + "\r\n", strings.Repeat("\n", block), true, wharfoutcome.Malformed},
-		"comments":   {ownHead + "\r\nid: 1\ndata: 1\n\n", strings.Repeat(": none\n\n", block/8), true, wharfoutcome.Malformed},
-		"event":      {ownHead + "\r\ndata: ", strings.Repeat("x", block), true, wharfoutcome.Malformed},
+		"events without a number": {ownHead + "\r\n", strings.Repeat("data: x\n\n", block/9), true, wharfoutcome.Malformed},
+		"line feeds":              {ownHead + "\r\n", strings.Repeat("\n", block), true, wharfoutcome.Malformed},
+		"comments":                {ownHead + "\r\nid: 1\ndata: 1\n\n", strings.Repeat(": none\n\n", block/8), true, wharfoutcome.Malformed},
+		"event":                   {ownHead + "\r\ndata: ", strings.Repeat("x", block), true, wharfoutcome.Malformed},
 		"refusal": {
 			"HTTP/1.1 503 Unavailable\r\nNot-Run: yes\r\nContent-Length: 99999999999\r\n\r\n", strings.Repeat("x", block), true,
 			wharfoutcome.Declined,
