--- a/wharf-load/wharfsoak/traffic.go
+++ b/wharf-load/wharfsoak/traffic.go
@@ -17,9 +17,9 @@
 	// requestInterval is the mean interval between requests of one caller to one host. The limited organisation sends
 	// three times its rate over all hosts.
 	requestInterval = 120 * time.Millisecond
-	// idleCallers is the number of callers of each host that keep a connection idle for idleInterval on average, so that some
-	// use it at any time of a planned stop until the process is gone.
-	idleCallers  = 8
+	// idleCallers is the number of callers, at least one of each host, that keep a connection idle for idleInterval on
+	// average, so that some use it at any time of a planned stop until the process is gone.
+	idleCallers  = 32
 	idleInterval = 3 * time.Second
 	// clientTimeout is the request timeout of callers, longer than the time that a host may take.
 	clientTimeout = 8 * time.Second
@@ -70,7 +70,7 @@
 		for _, route := range []string{"resume", "once"} {
 			callers.Go(func() { t.sendRequests(ctx, h, route, "lasting", unlimitedKey, requestInterval) })
 		}
-		for range idleCallers {
+		for range max(1, idleCallers/len(t.system.hosts)) {
 			callers.Go(func() { t.sendRequests(ctx, h, "once", "lasting", unlimitedKey, idleInterval) })
 		}
 		callers.Go(func() { t.sendRequests(ctx, h, "open", "", "", 3*requestInterval) })
