--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -241,5 +241,9 @@
 	's/wharfkey\.Hash\(data, organisation, id\)/organisation + "-" + id/' $book TestJobsHaveObjects
 mutant stale-endpoints-take-streams-up wharf/transport/wharffrontend/online.go \
 	's/if o\.outOfStep\(\) \{/if false {/' $host TestTakeUpAtAHostOutOfStep
+mutant objects-unchecked wharf/coordination/wharfjobstore/objects.go \
+	's/if !legacy && job\.Object != itemsObject\(job\.Organisation, job\.ID, data\) \{/if false {/' $book TestObjectsAreReadWhole
+mutant legacy-objects-trusted wharf/coordination/wharfjobstore/objects.go \
+	's/if !fits\(\*job\) \|\| .*? \{/if false \&\& fits(*job) {/' $book TestLegacyObjectOfTwoJobs
 
 exit $failed
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -150,7 +151,7 @@
 		if r.jobs[key] == nil {
 			aj := &activeJob{job: job, loading: true, batchingSince: time.Now()}
 			r.jobs[key] = aj
-			r.goroutines.Go(func() { r.loadItems(ctx, key, aj) })
+			r.goroutines.Go(func() { r.loadItems(ctx, job, aj) })
 		}
 	}
 }
@@ -167,19 +168,22 @@
 		"row-version", aj.job.Version, "listed", len(aj.job.ResultOrder), "items", len(aj.job.ItemTokens))
 }
 
-func (r *Runner) loadItems(ctx context.Context, key string, aj *activeJob) {
-	items, err := r.options.Jobs.Items(ctx, &aj.job)
+func (r *Runner) loadItems(ctx context.Context, job wharfjobstore.Job, aj *activeJob) {
+	items, err := r.options.Jobs.Items(ctx, &job)
 	var progress []wharftask.Progress
 	if err == nil {
-		progress, err = r.options.Jobs.Progress(ctx, &aj.job)
+		progress, err = r.options.Jobs.Progress(ctx, &job)
+	}
+	if errors.Is(err, wharfjobstore.ErrItemsLost) {
+		err = r.giveUpJob(ctx, job, err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	aj.loading = false
 	if err != nil {
 		klog.InfoS("failed to read batch job items; retrying", "request-id", aj.job.ID, "error", err.Error())
-		if r.jobs[key] == aj {
-			delete(r.jobs, key)
+		if r.jobs[job.Key()] == aj {
+			delete(r.jobs, job.Key())
 		}
 		return
 	}
@@ -193,6 +197,14 @@
 		"row-version", aj.job.Version, "items", len(items), "left", len(aj.items), "resumed", resumed)
 }
 
+// giveUpJob ends a job whose items are lost, so that its caller is told, and returns the error why it is not run.
+func (r *Runner) giveUpJob(ctx context.Context, job wharfjobstore.Job, reason error) error {
+	klog.ErrorS(reason, "batch job given up", "request-id", job.ID, "organisation", job.Organisation, "object", job.Object,
+		"row-version", job.Version, "listed", len(job.ResultOrder), "items", len(job.ItemTokens))
+	_, err := r.options.Jobs.GiveUp(ctx, job, reason.Error())
+	return errors.Join(reason, err)
+}
+
 // restoreProgress restores the progress that a previous owner saved and returns the number of resumed items.
 func (aj *activeJob) restoreProgress(progress []wharftask.Progress) int {
 	resumed := 0
--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -279,7 +279,8 @@
 	return progress, nil
 }
 
-// Items returns the items of a job. Its only error is ErrUnavailable.
+// Items returns the items of a job. It returns ErrItemsLost if they are not in the store or can't be told from those of
+// another job, and otherwise no error but ErrUnavailable.
 func (s *Store) Items(ctx context.Context, job *Job) ([]wharfcall.Item, error) {
 	key := job.Key()
 	s.mu.Lock()
@@ -291,13 +292,20 @@
 	data, err := retryWithResult(ctx, s, func(ctx context.Context) ([]byte, error) {
 		return s.options.Records.GetObject(ctx, job.Object)
 	})
+	if errors.Is(err, wharfrecords.ErrNotFound) {
+		return nil, ErrItemsLost
+	}
 	if err != nil {
 		return nil, wharfrecords.ErrUnavailable
 	}
-	items, err = decodeItems(data)
+	items, err = s.decodeOwnItems(job, data)
 	if err != nil {
-		klog.ErrorS(err, "failed to decode batch job items", "request-id", job.ID, "organisation", job.Organisation)
-		return nil, wharfrecords.ErrUnavailable
+		klog.ErrorS(err, "failed to read batch job items", "request-id", job.ID, "organisation", job.Organisation,
+			"object", job.Object, "row-version", job.Version)
+		if errors.Is(err, errForeignObject) && isLegacy(job.Object) {
+			return nil, ErrItemsLost
+		}
+		return nil, wharfrecords.ErrUnavailable // a name of today tells the content: what was read is not what is stored
 	}
 	if job.Pending() && job.Owner == s.options.Host {
 		s.mu.Lock()
@@ -324,7 +332,7 @@
 	}
 	size := 0
 	for _, row := range page.Rows {
-		result, err := s.result(ctx, row)
+		result, err := s.result(ctx, &job, row)
 		if err != nil {
 			return results, err
 		}
@@ -338,7 +346,7 @@
 	return results, nil
 }
 
-func (s *Store) result(ctx context.Context, row wharfrecords.Row) (wharftask.Result, error) {
+func (s *Store) result(ctx context.Context, job *Job, row wharfrecords.Row) (wharftask.Result, error) {
 	var stored resultRow
 	if err := cbor.Unmarshal(row.Value, &stored); err != nil {
 		klog.ErrorS(err, "failed to decode batch job result", "row", row.Key, "row-version", row.Version)
@@ -353,6 +361,11 @@
 	if err != nil {
 		return stored.Result, wharfrecords.ErrUnavailable
 	}
+	if !isOutput(stored.Object, job, stored.ItemID, data) {
+		klog.ErrorS(errForeignObject, "failed to read batch item output", "request-id", stored.ItemID, "job", job.ID,
+			"organisation", job.Organisation, "object", stored.Object)
+		return stored.Result, wharfrecords.ErrUnavailable
+	}
 	stored.Output = string(data)
 	return stored.Result, nil
 }
@@ -401,12 +414,7 @@
 		transaction = wharfrecords.Transaction{Part: part}
 	}
 	s.evict(job.Key())
-	for _, object := range append(outputObjects(results), job.Object) {
-		if err := s.options.Records.DeleteObject(ctx, object); err != nil {
-			return err
-		}
-	}
-	return nil
+	return s.deleteObjects(ctx, &job, outputObjects(results))
 }
 
 // outputObjects returns the names of the objects that hold the outputs of results.
--- a/wharf/coordination/wharfjobstore/rows.go
+++ b/wharf/coordination/wharfjobstore/rows.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	itemsPrefix  = "wharf-items-"  // of names of objects with items
+	outputPrefix = "wharf-output-" // of names of objects with outputs
+
 	jobTable    = "wharf-jobs"
 	resultTable = "wharf-results"
 	// progressTable holds the progress of items whose host released their job.
@@ -44,12 +47,12 @@
 
 // itemsObject returns the name of the object that holds a submission's items.
 func itemsObject(organisation, id string, data []byte) string {
-	return "wharf-items-" + wharfkey.Hash(data, organisation, id)
+	return itemsPrefix + wharfkey.Hash(data, organisation, id)
 }
 
 // outputObject returns the name of the object that holds the output of an item.
 func outputObject(job *Job, itemID string, output []byte) string {
-	return "wharf-output-" + wharfkey.Hash(output, job.Organisation, job.ID, itemID)
+	return outputPrefix + wharfkey.Hash(output, job.Organisation, job.ID, itemID)
 }
 
 func resultKey(job string, position int) string {
--- a/wharf/coordination/wharfjobstore/store.go
+++ b/wharf/coordination/wharfjobstore/store.go
@@ -33,6 +33,8 @@
 	ErrWaitingLimit = errors.New("too many tokens are waiting already")
 	// ErrOwnershipLost is returned when another host owns the job now, or the job has ended.
 	ErrOwnershipLost = errors.New("the job has ended or is owned by another host")
+	// ErrItemsLost is returned when a job's items are not in the store, or may be those of another job.
+	ErrItemsLost = errors.New("the items of the job are lost")
 )
 
 // Job is a job's record as of one version of its row.
--- a/wharf/state/wharfkey/key.go
+++ b/wharf/state/wharfkey/key.go
@@ -4,8 +4,11 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"regexp"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // separator is between the parts of a key; no escaped part contains it.
@@ -17,9 +20,14 @@
 	hashed = regexp.MustCompile(`^x-[0-9a-f]{64}$`)
 )
 
+// IsEscaped reports whether a name has the form of an escaped name that is not safe.
+func IsEscaped(name string) bool {
+	return hashed.MatchString(name)
+}
+
 // Escape returns name if it is safe as a part of a key, and otherwise "x-" and its hash; the result has at most 80 bytes.
 func Escape(name string) string {
-	if safe.MatchString(name) && !hashed.MatchString(name) {
+	if safe.MatchString(name) && !IsEscaped(name) {
 		return name
 	}
 	sum := sha256.Sum256([]byte(name))
@@ -38,10 +46,22 @@
 // Hash returns a name for contents that belong to names: other names or other contents never have the same one.
 func Hash(contents []byte, names ...string) string {
 	digest := sha256.New()
+	write(digest, contents, names)
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// Sum64 returns a short hash of contents that belong to names, for what may be wrong once in a long time.
+func Sum64(contents []byte, names ...string) uint64 {
+	digest := xxhash.New()
+	write(digest, contents, names)
+	return digest.Sum64()
+}
+
+// write writes names, each after its length, and contents to a digest.
+func write(digest hash.Hash, contents []byte, names []string) {
 	for _, name := range names {
 		_ = binary.Write(digest, binary.BigEndian, uint64(len(name))) // a hash never returns an error
 		digest.Write([]byte(name))
 	}
 	digest.Write(contents)
-	return hex.EncodeToString(digest.Sum(nil))
 }
--- a/wharf/state/wharfkey/key_test.go
+++ b/wharf/state/wharfkey/key_test.go
@@ -21,6 +21,7 @@
 		same := a[0] == b[0] && a[1] == b[1]
 		assert.Equal(t, Join(a...) == Join(b...), same, "%q and %q", Join(a...), Join(b...))
 		assert.Equal(t, Hash([]byte(a[1]), a[0]) == Hash([]byte(b[1]), b[0]), same)
+		assert.Equal(t, Sum64([]byte(a[1]), a[0]) == Sum64([]byte(b[1]), b[0]), same)
 		assert.Assert(t, len(Join(a...)) <= 2*80+1)
 	})
 }
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -81,7 +81,7 @@
 	switch {
 	case errors.Is(err, wharfjobstore.ErrWaitingLimit):
 		return q.withRetryAfter(errTooManyWaiting)
-	case errors.Is(err, wharfjobstore.ErrNotFound):
+	case errors.Is(err, wharfjobstore.ErrNotFound), errors.Is(err, wharfjobstore.ErrItemsLost):
 		return errNoJob
 	case errors.Is(err, wharfrecords.ErrRejected):
 		return errTooLarge
