--- a/wharf/state/wharfcrash/request.go
+++ b/wharf/state/wharfcrash/request.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"wagtailwharf.example/wharf/state/wharfkey"
 )
 
 // Identity is a hash of what requests may have in common: the whole request, or a part of the prompt.
@@ -23,12 +23,9 @@
 
 // NewRequest returns the identities of a request. A part has the same one in the requests of all organisations.
 func NewRequest(organisation, target string, body []byte, parts []string) Request {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(organisation + "\x00" + target + "\x00")
-	_, _ = digest.Write(body)
-	r := Request{Whole: Identity(digest.Sum64())}
+	r := Request{Whole: Identity(wharfkey.Sum64(body, organisation, target))}
 	for _, part := range parts {
-		r.Parts = append(r.Parts, Identity(xxhash.Sum64String("part\x00"+part)))
+		r.Parts = append(r.Parts, Identity(wharfkey.Sum64(nil, "part", part)))
 	}
 	return r
 }
--- a/wharf/state/wharfpoison/tracker.go
+++ b/wharf/state/wharfpoison/tracker.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"wagtailwharf.example/wharf/state/wharfkey"
 )
 
 const (
@@ -39,11 +39,7 @@
 
 // Fingerprint returns a hash of a request's organisation, service and body.
 func Fingerprint(organisation, service string, body []byte) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(organisation)
-	_, _ = digest.WriteString("\x00" + service + "\x00")
-	_, _ = digest.Write(body)
-	return digest.Sum64()
+	return wharfkey.Sum64(body, organisation, service)
 }
 
 // RecordCrash records that an endpoint crashed while it ran a request, and whether the request ran there alone. It
--- a/wharf/transport/wharfgateway/services.go
+++ b/wharf/transport/wharfgateway/services.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"time"
 
@@ -123,14 +124,12 @@
 		return wharfrefusal.New(http.StatusBadRequest, "bad-input",
 			fmt.Sprintf("an idempotency key has at most %d bytes", maxIdempotencyKeyBytes))
 	}
-	fingerprint := wharfconfig.Hash(
-		[]byte(c.request.Method + " " + c.path + "?" + c.request.URL.RawQuery + "\n" + string(c.body)))
 	request := wharfonce.Request{
 		Organisation:   c.organisation,
 		Service:        c.service,
 		IdempotencyKey: key,
 		RequestID:      c.id,
-		Fingerprint:    fingerprint,
+		Fingerprint:    c.fingerprint(),
 	}
 	stored, err := c.server.options.Reservations.Reserve(c.request.Context(), request)
 	if err != nil {
@@ -145,6 +144,13 @@
 	return c.runReserved(w, request)
 }
 
+// fingerprint returns a hash by which a resend is told from another request with the same idempotency key. The path is decoded,
+// so that it may contain what stands between the parts.
+func (c *serviceCall) fingerprint() string {
+	path := (&url.URL{Path: c.path}).EscapedPath()
+	return wharfconfig.Hash([]byte(c.request.Method + " " + path + "?" + c.request.URL.RawQuery + "\n" + string(c.body)))
+}
+
 // reservationRefusal maps the error of a failed reservation to a refusal. If the store does not tell whether the key is
 // reserved, an earlier request with the key may have run.
 func reservationRefusal(err error) error {
--- /dev/null
+++ b/wharf/transport/wharfgateway/services_test.go
@@ -0,0 +1,24 @@
+package wharfgateway
+
+import (
+	"net/http"
+	"net/url"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDifferentCallsHaveDifferentFingerprints guards against a request that gets the stored answer of another one with the
+// same idempotency key.
+func TestDifferentCallsHaveDifferentFingerprints(t *testing.T) {
+	seen := map[string]string{}
+	for _, call := range [][3]string{
+		{"/a", "b?c", ""}, {"/a?b", "c", ""}, {"/a", "b", "c?d\nbody"}, {"/a?b\nc", "d", "body"},
+	} {
+		request := &http.Request{Method: "POST", URL: &url.URL{RawQuery: call[1]}}
+		c := &serviceCall{request: request, path: call[0], body: []byte(call[2])}
+		other, found := seen[c.fingerprint()]
+		assert.Assert(t, !found, "%q and %q", call, other)
+		seen[c.fingerprint()] = call[0]
+	}
+}
