--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -245,5 +245,9 @@
 	's/if !legacy && job\.Object != itemsObject\(job\.Organisation, job\.ID, data\) \{/if false {/' $book TestObjectsAreReadWhole
 mutant legacy-objects-trusted wharf/coordination/wharfjobstore/objects.go \
 	's/if !fits\(\*job\) \|\| .*? \{/if false \&\& fits(*job) {/' $book TestLegacyObjectOfTwoJobs
+forwarder=wharf/transport/wharfforwarder/forwarder.go
+mutant failures-joined $forwarder 's/>= http\.StatusMultipleChoices && a\.HeaderWritten/< 0/' $host TestFailureIsNoPart
+mutant unsigned-answers $forwarder 's/\|\| !r\.Signed //' $host TestFailureIsNoPart
+mutant heads-without-body $forwarder 's/received == 0 && !endIsMarked\(response\)/false/' ./wharf/transport/wharfforwarder TestAnswersCut
 
 exit $failed
--- a/wharf/state/wharfcall/call.go
+++ b/wharf/state/wharfcall/call.go
@@ -63,4 +63,7 @@
 	KeepAlive     time.Duration // how long the endpoint keeps the idle connection open, 0 if not given
 	Leaving       bool          // the endpoint will end soon and is to get no new requests
 	RateLimit     float64       // requests per second that the endpoint takes from all hosts, or NoLimit
+	Signed        bool          // the endpoint vouches for the response, as for each success
+	Encoded       bool          // the body is not as the endpoint made it
+	EventStream   bool          // the body is a stream of events
 }
--- a/wharf/transport/wharfforwarder/endless_test.go
+++ b/wharf/transport/wharfforwarder/endless_test.go
@@ -69,7 +69,7 @@
 
 const (
 	responseHead = "HTTP/1.1 200 OK\r\n"
-	ownHead      = responseHead + "Id: one\r\n"
+	ownHead      = responseHead + "Id: one\r\nSigned: yes\r\nContent-Type: text/event-stream\r\n"
 	chunkedHead  = ownHead + "Transfer-Encoding: chunked\r\n\r\n"
 	block        = 32 << 10
 	// hostLimit bounds what one endless response may make a host allocate: a small part of the smallest host's memory.
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,9 +115,11 @@
 	errDeclined      = errors.New("endpoint declined the request")
 	errWrongEndpoint = errors.New("address belongs to another endpoint")
 	errServerError   = errors.New("endpoint responded with a server error")
+	errNotContinued  = errors.New("endpoint rejected the continuation of a stream")
+	errNotAnswer     = fmt.Errorf("%w: success without the marks of an answer", wharfhttpconn.ErrMalformed)
 	errCallerGone    = errors.New("caller no longer accepts the response")
 	errEventOrder    = errors.New("stream events are out of order")
-	errNoEvents      = errors.New("stream has too many bytes without an event")
+	errNoEvents      = errors.New("stream has no event, or too many bytes without one")
 )
 
 // outcomeOf classifies the error of an attempt.
@@ -125,7 +129,7 @@
 		return wharfoutcome.Declined
 	case errors.Is(err, errWrongEndpoint):
 		return wharfoutcome.WrongEndpoint
-	case errors.Is(err, errServerError):
+	case errors.Is(err, errServerError), errors.Is(err, errNotContinued):
 		return wharfoutcome.Failed
 	case ctx.Err() != nil, errors.Is(err, errCallerGone):
 		return wharfoutcome.CallerGone
@@ -153,8 +157,7 @@
 		return err
 	}
 	err = a.handleResponse(response)
-	if err != nil && !errors.Is(err, errServerError) && !errors.Is(err, errDeclined) &&
-		!errors.Is(err, errWrongEndpoint) {
+	if err != nil && !wasRefused(err) {
 		conn.Close()
 		return err
 	}
@@ -167,6 +170,12 @@
 	return err
 }
 
+// wasRefused reports whether an error says that the endpoint has answered, but not with a success. The connection stays of use.
+func wasRefused(err error) bool {
+	return slices.ContainsFunc([]error{errServerError, errDeclined, errWrongEndpoint, errNotContinued},
+		func(refusal error) bool { return errors.Is(err, refusal) })
+}
+
 // watchStall calls OnStall(true) after StallTimeout. The returned function ends the wait: it stops the timer, or calls
 // OnStall(false) if the endpoint has stalled.
 func (a *attempt) watchStall() (stop func()) {
@@ -215,7 +224,9 @@
 	})
 }
 
-// handleResponse forwards, buffers or discards the response, depending on its status and header.
+// handleResponse forwards, buffers or discards the response, depending on its status and header. When the caller has part of a
+// stream, only a stream that goes on is forwarded: the caller can't be given another status, and must not take a failure's
+// body for a part of the stream.
 func (a *attempt) handleResponse(response *http.Response) error {
 	decoded := a.forwarder.dialect.DecodeResponse(response.StatusCode, response.Header)
 	a.reuseFor = decoded.KeepAlive
@@ -229,16 +240,27 @@
 		return a.discardResponse(response, errDeclined)
 	case decoded.Status >= http.StatusInternalServerError:
 		return a.bufferErrorResponse(response)
+	case decoded.Status >= http.StatusMultipleChoices && a.HeaderWritten:
+		return a.discardResponse(response, errNotContinued)
 	case decoded.Status >= http.StatusMultipleChoices:
 		return a.forwardBody(response)
-	case decoded.ID == "":
-		return wharfhttpconn.ErrMalformed
+	case !a.isAnswer(decoded):
+		return errNotAnswer
 	case a.Streaming:
 		return a.forwardStream(response)
 	}
 	return a.forwardBody(response)
 }
 
+// isAnswer reports whether a success bears the marks that each answer of an endpoint has. All others are not the endpoint's own,
+// or not whole.
+func (a *attempt) isAnswer(r wharfcall.Response) bool {
+	if r.ID == "" || !r.Signed || r.Encoded {
+		return false
+	}
+	return !a.Streaming || r.Status == http.StatusOK && r.EventStream
+}
+
 // discardResponse reads a response that is not forwarded, so that the connection can be reused.
 func (a *attempt) discardResponse(response *http.Response, reason error) error {
 	if err := wharfhttpconn.Discard(response, maxErrorBodyBytes); err != nil {
@@ -287,6 +309,11 @@
 	}
 }
 
+// endIsMarked reports whether something else than the end of the connection says where a response's body ends.
+func endIsMarked(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
 // writeHeader forwards the status and header, unless this or an earlier attempt has done so.
 func (a *attempt) writeHeader(response *http.Response) error {
 	if a.result.TimeToFirstEvent == 0 {
@@ -361,24 +388,29 @@
 	return nil
 }
 
-// writeFiller forwards the header and the blocks that came before the first event.
+// writeFiller forwards the header and the blocks that came before the first event. In the middle of a response it drops these
+// blocks: they belong to the start of another one.
 func (a *attempt) writeFiller(response *http.Response) error {
 	if err := a.writeHeader(response); err != nil {
 		return err
 	}
-	if len(a.filler) > 0 && a.sink.WriteEvent(wharfframes.Event{Raw: a.filler}, true) != nil {
+	filler := a.filler
+	a.filler = nil
+	if len(filler) > 0 && !a.HeaderWritten && a.sink.WriteEvent(wharfframes.Event{Raw: filler}, true) != nil {
 		return errCallerGone
 	}
-	a.filler = nil
 	return nil
 }
 
-// endStream finishes a stream. Bytes after the last complete event mean that the stream was truncated, and so does the end
-// of the connection before the first event.
+// endStream finishes a stream at the end of the response's body. Bytes after the last complete event mean that the stream was
+// truncated. A body without an event is whole only if it continues a stream, which then had no more events, and its end is
+// marked: the end of the connection may have come before the first event.
 func (a *attempt) endStream(response *http.Response, rest []byte) error {
-	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if len(rest) > 0 || unframed && a.result.Events == 0 && !a.Attempt.Resumes {
+	switch {
+	case len(rest) > 0, a.result.Events == 0 && !endIsMarked(response):
 		return wharfhttpconn.ErrConnectionBroken
+	case a.result.Events == 0 && !a.Attempt.Resumes:
+		return errNoEvents
 	}
 	return a.writeFiller(response)
 }
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -43,6 +43,9 @@
 		ID:            header.Get("Id"),
 		NotRun:        header.Get("Not-Run") != "",
 		WrongEndpoint: status == http.StatusMisdirectedRequest,
+		Signed:        header.Get("Signed") != "",
+		Encoded:       header.Get("Content-Encoding") != "",
+		EventStream:   header.Get("Content-Type") == "text/event-stream",
 	}
 }
 
@@ -122,7 +125,7 @@
 }
 
 func head(id, rest string) string {
-	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + rest + "\r\n"
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: yes\r\nContent-Type: text/event-stream\r\n" + rest + "\r\n"
 }
 
 func chunk(text string) string {
@@ -204,6 +207,12 @@
 		{"response to another request first", []string{stream("old", 5, 6) + lastChunk + whole}, 0, event(1) + event(2) + event(3)},
 		{"only a response to another request", []string{stream("old", 5, 6) + lastChunk, "close"}, wharfoutcome.ConnectionLost, ""},
 		{"success that names no request", []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, wharfoutcome.Malformed, ""},
+		{"success without a signature", []string{"HTTP/1.1 200 OK\r\nId: x\r\nContent-Type: text/event-stream\r\n\r\n" + event(1), "close"}, wharfoutcome.Malformed, ""},
+		{"success that is no event stream", []string{"HTTP/1.1 200 OK\r\nId: x\r\nSigned: yes\r\nContent-Type: a/b\r\n\r\n" + event(1), "close"}, wharfoutcome.Malformed, ""},
+		{"success that is encoded", []string{head("x", "Content-Encoding: gzip\r\n") + event(1), "close"}, wharfoutcome.Malformed, ""},
+		{"partial content", []string{strings.Replace(whole, "200 OK", "206 Partial", 1)}, wharfoutcome.Malformed, ""},
+		{"stream without an event", []string{stream("x", 1, 0) + lastChunk}, wharfoutcome.Malformed, ""},
+		{"stream of a comment", []string{stream("x", 1, 0) + chunk(": comment\n\n") + lastChunk}, wharfoutcome.Malformed, ""},
 		{"bytes that are not HTTP", []string{"\x00\x01\x02 nonsense\r\n\r\n"}, wharfoutcome.Malformed, ""},
 		{"closed without a response", []string{"close"}, wharfoutcome.ConnectionLost, ""},
 		{"silence", []string{"silence", "close"}, wharfoutcome.TimedOut, ""},
@@ -220,7 +229,7 @@
 			to := &recordingSink{}
 			result := do(t, f, exchange(e, "x"), to)
 			assert.Equal(t, result.Outcome, c.outcome, "%v", result.Err)
-			if c.text != "" {
+			if c.text != "" || c.outcome == wharfoutcome.Malformed {
 				assert.Equal(t, to.text.String(), c.text)
 			}
 		})
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -140,7 +140,7 @@
 		}
 		action := wharfoutcome.Next(result.Outcome, wharfoutcome.Request{
 			Repeatable:  o.route.Repeatable(),
-			Resumable:   o.route.Resumable,
+			Resumable:   o.route.Resumable && o.status == http.StatusOK, // a failure that was cut short is not continued
 			Started:     o.started,
 			Runs:        o.runs,
 			Sends:       o.sends,
