--- /dev/null
+++ b/wharf/transport/wharfforwarder/cut_test.go
@@ -0,0 +1,95 @@
+package wharfforwarder
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/wharf/state/wharfoutcome"
+	"wagtailwharf.example/wharf/transport/wharfhttpconn"
+)
+
+// cutAnswer is an answer that tests cut short.
+type cutAnswer struct {
+	head, body string
+	streaming  bool
+	untilClose bool // the end of the connection ends the body
+}
+
+const (
+	cutID   = "x"
+	interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+	plain   = "twelve bytes"
+	trailer = "0\r\nA: b\r\n\r\n"
+)
+
+func cutAnswers() map[string]cutAnswer {
+	events := event(1) + event(2)
+	chunked := head(cutID, "Transfer-Encoding: chunked\r\n")
+	length := func(body string) string { return head(cutID, fmt.Sprintf("Content-Length: %d\r\n", len(body))) }
+	return map[string]cutAnswer{
+		"chunked stream":                             {head: chunked, body: chunk(event(1)) + chunk(event(2)) + lastChunk, streaming: true},
+		"chunked stream with a trailer":              {head: chunked, body: chunk(event(1)) + chunk(event(2)) + trailer, streaming: true},
+		"chunked stream after interim answers":       {head: interim + interim + chunked, body: chunk(events) + lastChunk, streaming: true},
+		"stream with a length":                       {head: length(events), body: events, streaming: true},
+		"stream until close":                         {head: head(cutID, ""), body: events, streaming: true, untilClose: true},
+		"body with a length":                         {head: length(plain), body: plain},
+		"body with a length after an interim answer": {head: interim + length(plain), body: plain},
+		"chunked body":                               {head: chunked, body: chunk("twelve ") + chunk("bytes") + lastChunk},
+		"chunked body with trailer":                  {head: chunked, body: chunk(plain) + trailer},
+		"empty chunked body":                         {head: chunked, body: lastChunk},
+		"body until close":                           {head: head(cutID, ""), body: plain, untilClose: true},
+		"failure with a length": {
+			head: "HTTP/1.1 422 X\r\nId: x\r\nContent-Length: 12\r\n\r\n", body: plain, streaming: true,
+		},
+	}
+}
+
+// endsWhole reports whether an answer that is cut after a number of bytes can't be told from a whole one: where the end of the
+// connection ends the body, after each event and each byte of another body.
+func (c *cutAnswer) endsWhole(bytes int) bool {
+	body := bytes - len(c.head)
+	if !c.untilClose || body <= 0 {
+		return false
+	}
+	return !c.streaming || body%len(event(1)) == 0
+}
+
+// TestAnswersCutAtEveryByte guards against an answer that ends early and is taken for whole: an endpoint stops after any byte of
+// an answer's head or body and closes or resets the connection, a new one or one that has carried another answer.
+func TestAnswersCutAtEveryByte(t *testing.T) {
+	for name, c := range cutAnswers() {
+		for _, end := range []string{"close", "reset"} {
+			for _, kept := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, kept connection %t", name, end, kept), func(t *testing.T) {
+					t.Parallel()
+					var cut atomic.Int64
+					whole := c.head + c.body
+					e := newEndpoint(t, func(id string, _ int) []string {
+						if id == cutID {
+							return []string{whole[:cut.Load()], end}
+						}
+						return []string{stream(id, 1, 1) + lastChunk}
+					})
+					for i := range len(whole) {
+						cut.Store(int64(i))
+						f := New(dialect{}, wharfhttpconn.NewPool())
+						if kept {
+							assert.Equal(t, do(t, f, exchange(e, "before"), &recordingSink{}).Outcome, wharfoutcome.Outcome(0))
+						}
+						x, sink := exchange(e, cutID), &recordingSink{}
+						x.Streaming = c.streaming
+						result := do(t, f, x, sink)
+						if end == "close" && c.endsWhole(i) {
+							continue
+						}
+						assert.Assert(t, result.Outcome != 0, "%q is taken for whole, with %q", whole[:i], sink.text.String())
+						assert.Assert(t, i >= len(c.head) || sink.headers == 0, "the head %q is forwarded", whole[:i])
+					}
+				})
+			}
+		}
+	}
+}
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -286,18 +286,20 @@
 	return errServerError
 }
 
-// forwardBody forwards a response that is not an event stream.
+// forwardBody forwards a response that is not an event stream. It forwards the header with the first part of the body, or at the
+// marked end of an empty one: a connection that ends before may have been cut within the answer.
 func (a *attempt) forwardBody(response *http.Response) error {
-	if err := a.writeHeader(response); err != nil {
-		return err
-	}
 	buffer := make([]byte, copyBufferBytes)
-	for {
+	for received := 0; ; {
 		a.conn.SetReadTimeout(a.IdleTimeout)
 		n, err := response.Body.Read(buffer)
-		if n > 0 {
-			if a.sink.WriteBody(buffer[:n]) != nil {
-				return errCallerGone
+		received += n
+		if errors.Is(err, io.EOF) && received == 0 && !endIsMarked(response) {
+			return wharfhttpconn.ErrConnectionBroken
+		}
+		if n > 0 || errors.Is(err, io.EOF) {
+			if err := a.forwardPart(response, buffer[:n]); err != nil {
+				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -309,6 +311,17 @@
 	}
 }
 
+// forwardPart forwards a part of a body, after the header.
+func (a *attempt) forwardPart(response *http.Response, data []byte) error {
+	if err := a.writeHeader(response); err != nil {
+		return err
+	}
+	if len(data) > 0 && a.sink.WriteBody(data) != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
 // endIsMarked reports whether something else than the end of the connection says where a response's body ends.
 func endIsMarked(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
