--- a/wharf/protocol/wharfapi/api.go
+++ b/wharf/protocol/wharfapi/api.go
@@ -80,6 +80,16 @@
 	Content string `json:"content"`
 }
 
+// Failed reports whether the chunk says that the endpoint failed.
+func (c *Chunk) Failed() bool {
+	return len(c.Error) > 0 && string(c.Error) != "null"
+}
+
+// Finished reports whether the chunk says why the text ends.
+func (c *Chunk) Finished() bool {
+	return len(c.Choices) > 0 && c.Choices[0].FinishReason != nil && *c.Choices[0].FinishReason != ""
+}
+
 // ParseChunk parses a stream event or a whole response. Its errors wrap ErrMalformed.
 func ParseChunk(data []byte) (*Chunk, error) {
 	var c Chunk
--- a/wharf/transport/wharfbatchexecutor/executor.go
+++ b/wharf/transport/wharfbatchexecutor/executor.go
@@ -26,6 +26,9 @@
 	maxErrorBodyBytes = 1 << 16
 )
 
+// errNoFinish means that a stream ended without the reason why its text ends.
+var errNoFinish = errors.New("stream ended without a finish reason")
+
 // Executor runs batch items on endpoints as streams, so that a preempted item keeps the text generated so far.
 // It implements wharfbatch.Executor.
 type Executor struct {
@@ -128,19 +131,22 @@
 	return wharfbatch.Outcome{StatusCode: response.StatusCode, Body: data}, nil
 }
 
-// collectStream reads the stream to its end and returns it as one response. If the stream breaks, the outcome holds the
-// progress made.
+// collectStream reads the stream to its end and returns it as one response. If the stream breaks or the endpoint reports that it
+// failed, the outcome holds the progress made. A stream that does not say why its text ends has lost its end.
 func collectStream(stream io.Reader, task wharfbatch.Task) (wharfbatch.Outcome, error) {
 	var text strings.Builder
 	text.WriteString(task.Progress.Text)
 	progress := task.Progress
 	last := &wharfapi.Chunk{}
-	finish := "stop"
+	finish := ""
 	reader := wharfevents.NewReader(stream)
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			return completedOutcome(task, last, text.String(), finish), nil
+			if finish != "" {
+				return completedOutcome(task, last, text.String(), finish), nil
+			}
+			err = errNoFinish
 		}
 		if err != nil {
 			progress.Text = text.String()
@@ -150,11 +156,15 @@
 		if err != nil || !chunk.BelongsTo(task.RequestID) {
 			return wharfbatch.Outcome{Progress: task.Progress}, trace.Wrap(wharfendpointclient.ErrResponseMismatch)
 		}
+		if chunk.Failed() {
+			progress.Text = text.String()
+			return wharfbatch.Outcome{Progress: progress}, fmt.Errorf("endpoint sent an error event: %s", chunk.Error)
+		}
 		if chunk.Text() != "" {
 			text.WriteString(chunk.Text())
 			progress.Tokens++
 		}
-		if len(chunk.Choices) > 0 && chunk.Choices[0].FinishReason != nil {
+		if chunk.Finished() {
 			finish = *chunk.Choices[0].FinishReason
 		}
 		last = chunk
