--- a/wharf/transport/wharfendpointclient/client.go
+++ b/wharf/transport/wharfendpointclient/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,8 @@
 	ErrIdleTimeout = errors.New("endpoint was silent for too long")
 	// ErrResponseMismatch means that the response belongs to another request.
 	ErrResponseMismatch = errors.New("endpoint answered another request")
+	// ErrEncoded means that the response has a content encoding.
+	ErrEncoded = errors.New("endpoint encoded its answer")
 )
 
 // Client sends requests to endpoints, with a separate connection pool for each. It is safe for concurrent use.
@@ -96,7 +99,7 @@
 }
 
 // Send sends a request and returns the response once its header has arrived. It returns ErrResponseMismatch if the
-// header names another request.
+// header names another request, and ErrEncoded if the body is encoded.
 func (c *Client) Send(ctx context.Context, request Request) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var gotConn atomic.Bool
@@ -126,7 +129,7 @@
 		idleTimeout: request.IdleTimeout,
 	}
 	body.onError = func(err error) { c.dropIdleAfterTimeout(request, err) }
-	if err := checkRequestID(response, request.RequestID); err != nil {
+	if err := errors.Join(checkRequestID(response, request.RequestID), checkEncoding(response)); err != nil {
 		_ = body.Close()
 		return nil, trace.Wrap(err)
 	}
@@ -164,6 +167,14 @@
 	return nil
 }
 
+// checkEncoding rejects a response whose body is encoded, though no encoding was asked for: no encoding is forwarded.
+func checkEncoding(response *http.Response) error {
+	if encoding := response.Header.Get("Content-Encoding"); encoding != "" && !strings.EqualFold(encoding, "identity") {
+		return ErrEncoded
+	}
+	return nil
+}
+
 func (c *Client) transport(request Request) *http.Transport {
 	if request.NewConnection {
 		return c.noReuse
--- a/wharf/transport/wharfgateway/generate.go
+++ b/wharf/transport/wharfgateway/generate.go
@@ -194,10 +194,22 @@
 
 const maxErrorBodyBytes = 1 << 16
 
+// readResponse reads the body of a response that is forwarded as a whole.
+func readResponse(response *wharfendpointclient.Response) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		return nil, errResponseTooLong
+	}
+	return data, err
+}
+
+// errResponseTooLong means that a response is longer than is kept. Its first part is not forwarded, since it would look whole.
+var errResponseTooLong = fmt.Errorf("endpoint responded with more than %d bytes", maxResponseBytes)
+
 // forwardResponse reads the whole response, and checks that it is complete and belongs to this request before it
 // forwards any of it.
 func (g *generation) forwardResponse(w http.ResponseWriter, response *wharfendpointclient.Response) error {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := readResponse(response)
 	if err != nil {
 		return err
 	}
@@ -232,7 +244,7 @@
 		if err != nil || !chunk.BelongsTo(g.request.id) {
 			return wharfendpointclient.ErrResponseMismatch
 		}
-		if chunk.Error != nil {
+		if chunk.Failed() {
 			return fmt.Errorf("endpoint sent an error event: %s", chunk.Error)
 		}
 		g.recordToken()
--- a/wharf/transport/wharfgateway/services.go
+++ b/wharf/transport/wharfgateway/services.go
@@ -178,7 +178,7 @@
 func (c *serviceCall) storeAndForward(
 	w http.ResponseWriter, request wharfonce.Request, response *wharfendpointclient.Response,
 ) error {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := readResponse(response)
 	if err != nil {
 		return err
 	}
--- a/wharf/transport/wharfgateway/services_test.go
+++ b/wharf/transport/wharfgateway/services_test.go
@@ -1,11 +1,16 @@
 package wharfgateway
 
 import (
+	"bytes"
+	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"wagtailwharf.example/wharf/transport/wharfendpointclient"
 )
 
 // TestDifferentCallsHaveDifferentFingerprints guards against a request that gets the stored answer of another one with the
@@ -22,3 +27,14 @@
 		seen[c.fingerprint()] = call[0]
 	}
 }
+
+// TestTooLongResponseIsNotForwarded guards against the first part of a response that is framed as whole.
+func TestTooLongResponseIsNotForwarded(t *testing.T) {
+	for length, whole := range map[int]bool{maxResponseBytes: true, maxResponseBytes + 1: false} {
+		body := io.NopCloser(bytes.NewReader(make([]byte, length)))
+		data, err := readResponse(&wharfendpointclient.Response{Body: body})
+		assert.Equal(t, err == nil, whole, "%d bytes: %v", length, err)
+		assert.Equal(t, errors.Is(err, errResponseTooLong), !whole)
+		assert.Assert(t, !whole || len(data) == length)
+	}
+}
