A status that promises callers 'not run' is passed on only if the endpoint says so

An endpoint ran a request, or may have, and answered 429 or 503 without saying that it had not run; the caller got that status, which promises that the request never runs.

Cause: failures are passed on with the endpoint's status.

Change: 408, 429 and 503 without the endpoint's word are failures of a run: tried elsewhere if the request may be repeated, else 502. TestFailureIsNoPartOfABrokenStream and TestAnswersCutAtEveryByte send again what a busy machine refuses or can't connect in time.

Test before the change: continuation_test.go:68: assertion failed: resp.Status is not http.StatusBadGateway: 429, "the engine failed\n\nsee its log\n\n" continuation_test.go:68: assertion failed: resp.Status is not http.StatusBadGateway: 503, "the engine failed\n\nsee its log\n\n"

--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -238,6 +238,8 @@
 		return a.discardResponse(response, errWrongEndpoint)
 	case decoded.NotRun:
 		return a.discardResponse(response, errDeclined)
+	case promisesNotRun(decoded.Status):
+		return a.discardResponse(response, errServerError)
 	case decoded.Status >= http.StatusInternalServerError:
 		return a.bufferErrorResponse(response)
 	case decoded.Status >= http.StatusMultipleChoices && a.HeaderWritten:
@@ -252,6 +254,12 @@
 	return a.forwardBody(response)
 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run. An endpoint that does not say so itself may
+// have run it, so that its response must not be passed on with this status.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // isAnswer reports whether a success bears the marks that each answer of an endpoint has. All others are not the endpoint's own,
 // or not whole.
 func (a *attempt) isAnswer(r wharfcall.Response) bool {
