Soak: endpoints break off and answer as something else, or stop within a head; findings about a run are of that run

The soak's endpoints draw two more kinds of faults from the seed, of a generator of their own, so that seeds keep their other faults.

Runs keep their codes now.

Test before the change: ExitCode of an ended run was -1 while the next one ran; there was no handle for the run itself.

--- a/wharf-load/wharfprocess/process.go
+++ b/wharf-load/wharfprocess/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -21,7 +22,41 @@
 	logFile   string
 	mu        sync.Mutex
 	cmd       *exec.Cmd
-	done      chan struct{}
+	run       *Run // the latest, nil before the first start
+}
+
+// Run is one run of the program. It is safe for concurrent use.
+type Run struct {
+	done     chan struct{}
+	code     int // set before done is closed
+	stopping atomic.Bool
+}
+
+// Done returns a channel that is closed when the run has ended.
+func (r *Run) Done() <-chan struct{} {
+	return r.done
+}
+
+// ExitCode returns the exit code of a run that has ended, -1 if it was terminated by a signal.
+func (r *Run) ExitCode() int {
+	return r.code
+}
+
+// SetStopping records that whoever started the run ends it.
+func (r *Run) SetStopping() {
+	r.stopping.Store(true)
+}
+
+// Stopping reports whether SetStopping was called.
+func (r *Run) Stopping() bool {
+	return r.stopping.Load()
+}
+
+// Latest returns the latest run, or nil before the first start.
+func (p *Process) Latest() *Run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.run
 }
 
 // New returns a process that is not started yet. Its standard output and error are appended to logFile.
@@ -49,22 +84,23 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	done := make(chan struct{})
-	p.cmd, p.done = command, done
+	run := &Run{done: make(chan struct{})}
+	p.cmd, p.run = command, run
 	go func() {
-		_ = command.Wait() // ExitCode reads the ProcessState
-		close(done)
+		_ = command.Wait() // the ProcessState says how it ended
+		run.code = command.ProcessState.ExitCode()
+		close(run.done)
 	}()
 	return nil
 }
 
 // running is Running for callers that hold the lock.
 func (p *Process) running() bool {
-	if p.done == nil {
+	if p.run == nil {
 		return false
 	}
 	select {
-	case <-p.done:
+	case <-p.run.done:
 		return false
 	default:
 		return true
@@ -88,11 +124,14 @@
 	return p.cmd.Process.Pid
 }
 
-// Done returns a channel that is closed when the current run exits; it is nil before the first start.
+// Done returns a channel that is closed when the latest run has ended; it is nil before the first start.
 func (p *Process) Done() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.done
+	if p.run == nil {
+		return nil
+	}
+	return p.run.done
 }
 
 // ExitCode returns the exit code of the latest run, -1 if it was terminated by a signal, is running or was never
@@ -100,10 +139,10 @@
 func (p *Process) ExitCode() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil || p.running() {
+	if p.run == nil || p.running() {
 		return -1
 	}
-	return p.cmd.ProcessState.ExitCode()
+	return p.run.code
 }
 
 // Signal sends a signal to the process; the error is os.ErrProcessDone if it is not running.
--- a/wharf-load/wharfprocess/process_test.go
+++ b/wharf-load/wharfprocess/process_test.go
@@ -39,3 +39,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), "out\nerr\nout\nerr\n")
 }
+
+// TestRunKeepsItsExitCode guards against a finding about a run that is taken from the run after it.
+func TestRunKeepsItsExitCode(t *testing.T) {
+	folder := t.TempDir()
+	p := New(filepath.Join(folder, "log"), "sh", "-c", "test -e "+filepath.Join(folder, "second")+" && exec sleep 60; exit 3")
+	assert.NilError(t, p.Start())
+	first := p.Latest()
+	first.SetStopping()
+	<-first.Done()
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, "second"), nil, logMode))
+	assert.NilError(t, p.Start())
+	assert.Equal(t, first.ExitCode(), 3)
+	assert.Assert(t, first.Stopping() && !p.Latest().Stopping())
+	assert.Equal(t, p.ExitCode(), -1, "of the run that goes on")
+	p.Kill()
+}
--- a/wharf-load/wharfsoak/faults.go
+++ b/wharf-load/wharfsoak/faults.go
@@ -150,7 +150,7 @@
 	},
 }
 
-// scheduleFaults draws the faults of a run, ordered by start time; faults may overlap. Peer and prompt faults were
+// scheduleFaults draws the faults of a run, ordered by start time; faults may overlap. Peer, prompt and answer faults were
 // added later and are drawn from separate generators, so that existing seeds still draw the same other faults.
 func scheduleFaults(rng *rand.Rand, s *system) []faultEvent {
 	events := drawFaults(rng, baseFaults, minFaults+rng.IntN(extraFaults), s)
@@ -158,6 +158,8 @@
 	events = append(events, drawFaults(peerRNG, peerFaults, peerRNG.IntN(maxPeerFaults+1), s)...)
 	promptRNG := newRand(s.options.Seed ^ promptFaultSeed)
 	events = append(events, drawFaults(promptRNG, promptFaults, promptRNG.IntN(2), s)...)
+	answerRNG := newRand(s.options.Seed ^ answerFaultSeed)
+	events = append(events, drawFaults(answerRNG, answerFaults, answerRNG.IntN(maxAnswerFaults+1), s)...)
 	slices.SortFunc(events, func(a, b faultEvent) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.kind, b.kind))
 	})
@@ -224,15 +226,15 @@
 // stopHost stops a host gracefully with SIGTERM and restarts it after a delay.
 func (s *system) stopHost(ctx context.Context, h *host, down time.Duration) {
 	defer h.plannedStops.begin()()
+	run := h.Latest()
 	if !h.Running() {
 		return // another fault has stopped it
 	}
-	h.stopping.Store(true)
+	run.SetStopping()
 	signalledAt := time.Now()
-	done := h.Done()
 	_ = h.Signal(syscall.SIGTERM)
 	select {
-	case <-done:
+	case <-run.Done():
 	case <-time.After(stopLimit + time.Second):
 		if !h.faults.overlaps(signalledAt, time.Now()) {
 			s.findings.add("%s is still running %v after SIGTERM", h.name, stopLimit+time.Second)
@@ -241,7 +243,7 @@
 	case <-ctx.Done():
 		return
 	}
-	if code := h.ExitCode(); code != 0 && !h.faults.overlaps(signalledAt, time.Now()) {
+	if code := run.ExitCode(); code != 0 && !h.faults.overlaps(signalledAt, time.Now()) {
 		s.findings.add("%s exited with code %d after SIGTERM", h.name, code)
 	}
 	wharfpause.For(ctx, down)
--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,10 +83,9 @@
 	readinessAddress string
 	storeProxy       *wharfproxy.Proxy
 	peerProxy        *wharfproxy.Proxy
-	faults           faultSpans  // kills, pauses and network faults
-	plannedStops     faultSpans  // graceful stops
-	stopping         atomic.Bool // the soak has stopped or killed it
-	startMu          sync.Mutex  // serializes starts
+	faults           faultSpans // kills, pauses and network faults
+	plannedStops     faultSpans // graceful stops
+	startMu          sync.Mutex // serializes starts
 }
 
 // endpoint is an address at which a series of stand-in endpoints runs, one at a time.
@@ -243,24 +241,34 @@
 	if err := h.Start(); err != nil {
 		return err
 	}
-	h.stopping.Store(false)
+	run := h.Latest()
 	if err := h.peerProxy.Listen(ctx); err != nil {
 		return err
 	}
-	done := h.Done()
 	go func() {
-		<-done
-		h.peerProxy.StopListening()
-		if !h.stopping.Load() {
-			s.findings.add("%s exited unexpectedly with code %d", h.name, h.ExitCode())
+		<-run.Done()
+		h.stopListening(run)
+		if !run.Stopping() {
+			s.findings.add("%s exited unexpectedly with code %d", h.name, run.ExitCode())
 		}
 	}()
 	return nil
 }
 
+// stopListening closes the host's address for its peers after a run has ended, unless the host has been started again.
+func (h *host) stopListening(run *wharfprocess.Run) {
+	h.startMu.Lock()
+	defer h.startMu.Unlock()
+	if h.Latest() == run {
+		h.peerProxy.StopListening()
+	}
+}
+
 // kill kills the daemon with SIGKILL.
 func (h *host) kill() {
-	h.stopping.Store(true)
+	if run := h.Latest(); run != nil {
+		run.SetStopping()
+	}
 	h.Kill()
 }
 
