--- a/Makefile
+++ b/Makefile
@@ -64,4 +64,5 @@
 	go test -fuzz FuzzParseLines -fuzztime $(FUZZTIME) ./wharf/coordination/wharfjobs
 	go test -fuzz FuzzParse -fuzztime $(FUZZTIME) ./wharf/state/wharfconfig
 	go test -fuzz FuzzApply -fuzztime $(FUZZTIME) ./wharf/state/wharfdelta
+	go test -fuzz FuzzSend -fuzztime $(FUZZTIME) ./wharf/transport/wharfhttpconn
 	go test -fuzz FuzzPeerMessages -fuzztime $(FUZZTIME) ./wharf/transport/wharfrpc
--- a/wagtailwharfd/wharfhost/jobs_test.go
+++ b/wagtailwharfd/wharfhost/jobs_test.go
@@ -244,3 +244,18 @@
 	}
 	c.assertJob(c.hosts[1], "job", 30)
 }
+
+// TestItemCannotHoldAnotherRequest guards against an item whose path ends its request line, so that the endpoint runs a request of
+// another organisation that stands in the rest of it.
+func TestItemCannotHoldAnotherRequest(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	path := "/batch/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\nPOST /batch/smuggled"
+	items := []wharfstandin.Item{{ID: "sound", Body: "b"}, {ID: "evil", Body: "b", Path: path}}
+	caller := wharfstandin.NewCaller(callerHost, keyA)
+	resp := caller.SubmitJob(context.Background(), c.hosts[0].address(), "job", items)
+	assert.Equal(t, resp.Status, http.StatusBadRequest)
+	assert.Assert(t, strings.Contains(resp.Body, "evil") && strings.Contains(resp.Body, "path"), resp.Body)
+	_, resp = caller.ReadResults(context.Background(), c.hosts[0].address(), "job", 0, 0)
+	assert.Equal(t, resp.Status, http.StatusNotFound, "nothing of the job is accepted")
+	assert.Equal(t, len(c.executions("sound"))+len(c.executions("evil")), 0)
+}
--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -533,3 +533,18 @@
 		b.kill()
 	})
 }
+
+// TestItemThatCannotBeSentIsGivenUp guards against items of jobs that a build before accepted, whose path holds another request.
+func TestItemThatCannotBeSentIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHost(wharfmemorystore.New(), "a", 1, 2)
+		s := wharfjobstore.Submission{ID: "job", Organisation: "org", Route: "r", Host: "h", Items: []wharfcall.Item{
+			{ID: "job-0", Path: "/p", Tokens: 600}, {ID: "evil", Path: "/p HTTP/1.1\r\n\r\nPOST /q", Tokens: 600},
+		}}
+		assert.NilError(t, h.jobs.Submit(context.Background(), s))
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, output(t, h, "job"), map[string]string{"job-0": completeOutput("job-0"), "evil": ""})
+		assert.Equal(t, h.engine.runs["evil"], 0)
+		h.kill()
+	})
+}
--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharfschedule"
+	"wagtailwharf.example/wharf/state/wharftask"
 )
 
 // startable is an item that can be started, with its scheduling priority.
@@ -124,7 +125,7 @@
 			continue
 		}
 		for _, i := range aj.items {
-			if r.expireItem(route, i) || i.cancel != nil || i.finished || now.Before(i.notBefore) {
+			if r.expireItem(route, i) || r.rejectItem(i) || i.cancel != nil || i.finished || now.Before(i.notBefore) {
 				continue
 			}
 			list = append(list, startable{item: i, route: route, candidate: r.candidate(route, i, storeNow)})
@@ -134,6 +135,22 @@
 	return list
 }
 
+// rejectItem records a failure for an item that can't be sent, which builds before did not refuse, and reports whether it did. The
+// caller holds r.mu.
+func (r *Runner) rejectItem(i *item) bool {
+	if i.finished || i.checked {
+		return false
+	}
+	i.checked = true
+	err := i.Check()
+	if err != nil {
+		klog.InfoS("batch item can't be sent", "request-id", i.ID, "job", i.job.job.ID, "organisation", i.job.job.Organisation,
+			"error", err.Error())
+		r.recordResult(i, wharftask.Result{ItemID: i.ID, Reason: err.Error()})
+	}
+	return err != nil
+}
+
 // candidate returns an item's due time and remaining run time, by which items are ordered.
 func (r *Runner) candidate(route *wharfroute.Route, i *item, storeNow time.Duration) wharfschedule.Candidate {
 	total := time.Duration(float64(i.Tokens) * float64(r.timePerToken))
--- a/wharf/coordination/wharfjobrunner/task.go
+++ b/wharf/coordination/wharfjobrunner/task.go
@@ -67,4 +67,5 @@
 	stopped     time.Time     // end of the last attempt
 	runTime     time.Duration // over all attempts whose output is kept
 	finished    bool
+	checked     bool // by rejectItem
 }
--- a/wharf/state/wharfcall/call.go
+++ b/wharf/state/wharfcall/call.go
@@ -1,8 +1,13 @@
 package wharfcall
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Call is a caller's request, decoded by the dialect of the interface at which it arrived.
@@ -67,3 +72,35 @@
 	Encoded       bool          // the body is not as the endpoint made it
 	EventStream   bool          // the body is a stream of events
 }
+
+// ErrInvalid means that an item can't be sent as it is.
+var ErrInvalid = errors.New("invalid item")
+
+// Check returns an error that wraps ErrInvalid and names the field if what the item holds for the head of a request could end a
+// line of it, or mean something else there.
+func (i *Item) Check() error {
+	if i.ID == "" || !httpguts.ValidHeaderFieldValue(i.ID) {
+		return fmt.Errorf("%w: its ID %q is no header value", ErrInvalid, i.ID)
+	}
+	if !ValidTarget(i.Path) {
+		return fmt.Errorf("%w: path %q of item %q is no path", ErrInvalid, i.Path, i.ID)
+	}
+	for name, values := range i.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: header name %q of item %q", ErrInvalid, name, i.ID)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return fmt.Errorf("%w: header %s of item %q has the value %q", ErrInvalid, name, i.ID, value)
+			}
+		}
+	}
+	return nil
+}
+
+// ValidTarget reports whether a path with its query can stand in a request line: it starts with a slash and has no spaces and no
+// control characters.
+func ValidTarget(target string) bool {
+	forbidden := func(r rune) bool { return r <= ' ' || r == '\x7f' }
+	return strings.HasPrefix(target, "/") && strings.IndexFunc(target, forbidden) < 0
+}
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -51,6 +51,11 @@
 	if len(items) == 0 || len(items) > maxItems {
 		return errJobTooLarge
 	}
+	for i := range items {
+		if err := items[i].Check(); err != nil {
+			return wharfrefusal.New(http.StatusBadRequest, "invalid-item", err.Error())
+		}
+	}
 	limit := min(storeTimeout, q.remaining())
 	if err := q.endsBeforeStop(limit); err != nil {
 		return err
--- a/wharf/transport/wharfhttpconn/conn.go
+++ b/wharf/transport/wharfhttpconn/conn.go
@@ -13,8 +13,10 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
+	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/transport/wharfdialer"
 )
 
@@ -22,6 +24,8 @@
 var (
 	// ErrNotSent means that no byte of the request can have reached the endpoint.
 	ErrNotSent = errors.New("failed to connect to endpoint")
+	// ErrInvalidRequest means that the request can't be written as one request. No byte of it was sent.
+	ErrInvalidRequest = errors.New("request can't be written")
 	// ErrConnectionBroken means that the connection broke after the request may have been sent.
 	ErrConnectionBroken = errors.New("connection to endpoint broke")
 	// ErrIdleTimeout means that the endpoint sent nothing within the time limit.
@@ -110,26 +114,52 @@
 	c.refused = append(c.refused, id)
 }
 
-// Send writes a request. Its error wraps ErrConnectionBroken, since the endpoint may have read what was written.
-func (c *Conn) Send(r *Request) error {
+// valid reports whether each part of the request's head stays in its place: nothing ends a line or a word early.
+func (r *Request) valid() bool {
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) || !allValid(values) {
+			return false
+		}
+	}
+	return httpguts.ValidHeaderFieldName(r.Method) && wharfcall.ValidTarget(r.Target) && httpguts.ValidHostHeader(r.Host)
+}
+
+func allValid(values []string) bool {
+	for _, value := range values {
+		if !httpguts.ValidHeaderFieldValue(value) {
+			return false
+		}
+	}
+	return true
+}
+
+// head returns the request up to its body.
+func (r *Request) head() []byte {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	if err := r.Header.Write(&head); err != nil {
-		return fmt.Errorf("%w: %w", ErrConnectionBroken, err)
-	}
+	_ = r.Header.Write(&head) // a buffer never returns an error
 	if len(r.Body) > 0 || r.Method != http.MethodGet {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
+	return head.Bytes()
+}
+
+// Send writes a request. Its error wraps ErrInvalidRequest if nothing was written, and otherwise ErrConnectionBroken, since the
+// endpoint may have read what was written.
+func (c *Conn) Send(r *Request) error {
+	if !r.valid() {
+		return fmt.Errorf("%w: %s %q, host %q", ErrInvalidRequest, r.Method, r.Target, r.Host)
+	}
+	head := r.head()
 	c.bodyResult = nil
 	if len(r.Body) <= maxInlineBodyBytes {
-		head.Write(r.Body)
-		return c.write(head.Bytes())
+		return c.write(append(head, r.Body...))
 	}
 	written := make(chan error, 1)
 	c.bodyResult = written
 	go func() {
-		err := c.write(head.Bytes())
+		err := c.write(head)
 		if err == nil {
 			err = c.write(r.Body)
 		}
