--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -305,7 +305,7 @@
 		if errors.Is(err, errForeignObject) && isLegacy(job.Object) {
 			return nil, ErrItemsLost
 		}
-		return nil, wharfrecords.ErrUnavailable // a name of today tells the content: what was read is not what is stored
+		return nil, wharfrecords.ErrUnavailable // it was read wrong: the name is a hash of what is stored
 	}
 	if job.Pending() && job.Owner == s.options.Host {
 		s.mu.Lock()
--- a/wharf/coordination/wharfjobstore/objects.go
+++ b/wharf/coordination/wharfjobstore/objects.go
@@ -16,7 +16,7 @@
 	"wagtailwharf.example/wharf/state/wharftask"
 )
 
-// errForeignObject means that an object has not the content that its name stands for, or may be another job's.
+// errForeignObject means that an object's content does not fit its name, or that the object may be another job's.
 var errForeignObject = errors.New("object is not that of the job")
 
 // isLegacy reports whether an object's name is one that builds before wharfkey joined from escaped names with "-". Jobs of
@@ -55,7 +55,7 @@
 	return items, nil
 }
 
-// complete reports whether the cache has held all jobs.
+// complete reports whether all jobs have been read into the cache since the start.
 func (s *Store) complete() bool {
 	return s.feedVersion() > 0
 }
--- a/wharf/transport/wharfforwarder/cut_test.go
+++ b/wharf/transport/wharfforwarder/cut_test.go
@@ -70,6 +70,37 @@
 	}
 }
 
+// cutEndpoint answers requests with cutID with the first bytes of an answer and then ends the connection.
+type cutEndpoint struct {
+	*endpoint
+	cut atomic.Int64
+}
+
+func newCutEndpoint(t *testing.T, whole, end string) *cutEndpoint {
+	t.Helper()
+	e := &cutEndpoint{}
+	e.endpoint = newEndpoint(t, func(id string, _ int) []string {
+		if id == cutID {
+			return []string{whole[:e.cut.Load()], end}
+		}
+		return []string{stream(id, 1, 1) + lastChunk}
+	})
+	return e
+}
+
+// play returns what becomes of an answer that is cut after some bytes, on a new connection or on one that has carried another.
+func (e *cutEndpoint) play(t *testing.T, streaming, kept bool, bytes int) (Result, *recordingSink) {
+	t.Helper()
+	e.cut.Store(int64(bytes))
+	f := New(dialect{}, wharfhttpconn.NewPool())
+	if kept {
+		assert.Equal(t, doPatiently(t, f, exchange(e.endpoint, "before"), &recordingSink{}).Outcome, wharfoutcome.Outcome(0))
+	}
+	x, sink := exchange(e.endpoint, cutID), &recordingSink{}
+	x.Streaming = streaming
+	return doPatiently(t, f, x, sink), sink
+}
+
 // TestAnswersCutAtEveryByte guards against an answer that ends early and is taken for whole: an endpoint stops after any byte of
 // an answer's head or body and closes or resets the connection, a new one or one that has carried another answer.
 func TestAnswersCutAtEveryByte(t *testing.T) {
@@ -78,31 +109,24 @@
 			for _, kept := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %s, kept connection %t", name, end, kept), func(t *testing.T) {
 					t.Parallel()
-					var cut atomic.Int64
-					whole := c.head + c.body
-					e := newEndpoint(t, func(id string, _ int) []string {
-						if id == cutID {
-							return []string{whole[:cut.Load()], end}
-						}
-						return []string{stream(id, 1, 1) + lastChunk}
-					})
-					for i := range len(whole) {
-						cut.Store(int64(i))
-						f := New(dialect{}, wharfhttpconn.NewPool())
-						if kept {
-							assert.Equal(t, doPatiently(t, f, exchange(e, "before"), &recordingSink{}).Outcome, wharfoutcome.Outcome(0))
-						}
-						x, sink := exchange(e, cutID), &recordingSink{}
-						x.Streaming = c.streaming
-						result := doPatiently(t, f, x, sink)
-						if end == "close" && c.endsWhole(i) {
-							continue
-						}
-						assert.Assert(t, result.Outcome != 0, "%q is taken for whole, with %q", whole[:i], sink.text.String())
-						assert.Assert(t, i >= len(c.head) || sink.headers == 0, "the head %q is forwarded", whole[:i])
-					}
+					c.assertNoneWhole(t, end, kept)
 				})
 			}
 		}
 	}
 }
+
+// assertNoneWhole checks that no answer that is cut short is taken for whole, and that no part of a head is forwarded.
+func (c *cutAnswer) assertNoneWhole(t *testing.T, end string, kept bool) {
+	t.Helper()
+	whole := c.head + c.body
+	e := newCutEndpoint(t, whole, end)
+	for i := range len(whole) {
+		result, sink := e.play(t, c.streaming, kept, i)
+		if end == "close" && c.endsWhole(i) {
+			continue
+		}
+		assert.Assert(t, result.Outcome != 0, "%q is taken for whole, with %q", whole[:i], sink.text.String())
+		assert.Assert(t, i >= len(c.head) || sink.headers == 0, "the head %q is forwarded", whole[:i])
+	}
+}
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -116,7 +116,7 @@
 	errWrongEndpoint = errors.New("address belongs to another endpoint")
 	errServerError   = errors.New("endpoint responded with a server error")
 	errNotContinued  = errors.New("endpoint rejected the continuation of a stream")
-	errNotAnswer     = fmt.Errorf("%w: success without the marks of an answer", wharfhttpconn.ErrMalformed)
+	errNotAnswer     = fmt.Errorf("%w: success without ID, signature or event stream, or encoded", wharfhttpconn.ErrMalformed)
 	errCallerGone    = errors.New("caller no longer accepts the response")
 	errEventOrder    = errors.New("stream events are out of order")
 	errNoEvents      = errors.New("stream has no event, or too many bytes without one")
@@ -260,8 +260,8 @@
 	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
-// isAnswer reports whether a success bears the marks that each answer of an endpoint has. All others are not the endpoint's own,
-// or not whole.
+// isAnswer reports whether a success names the request, is signed and is not encoded, and is an event stream where one was asked
+// for. Any other is not the endpoint's own response.
 func (a *attempt) isAnswer(r wharfcall.Response) bool {
 	if r.ID == "" || !r.Signed || r.Encoded {
 		return false
