--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -249,5 +249,9 @@
 mutant failures-joined $forwarder 's/>= http\.StatusMultipleChoices && a\.HeaderWritten/< 0/' $host TestFailureIsNoPart
 mutant unsigned-answers $forwarder 's/\|\| !r\.Signed //' $host TestFailureIsNoPart
 mutant heads-without-body $forwarder 's/received == 0 && !endIsMarked\(response\)/false/' ./wharf/transport/wharfforwarder TestAnswersCut
+mutant unpromised-statuses $forwarder 's/case promisesNotRun\(decoded\.Status\):/case false \&\& promisesNotRun(0):/' $host TestUnpromised
+mutant items-unchecked wharf/transport/wharffrontend/jobs.go 's/range items \{\n\t\tif err := items\[i\]/range items[:0] {\n\t\tif err := items[i]/' $host TestItemCannotHold
+mutant requests-unchecked wharf/transport/wharfhttpconn/conn.go 's/wharfcall\.ValidTarget\(r\.Target\)/wharfcall.ValidTarget("\/")/' \
+	./wharf/transport/wharfhttpconn FuzzSend
 
 exit $failed
