A request that can't be written is no fault of the endpoint

Found in the reading of the diff: since a request whose head can't be written ended as malformed, which counts against the endpoint. An organisation with a control character in its configured name could make all endpoints look faulty.

Change: such a request counts as declined: it has not run, and the endpoint is not at fault.

Test before the change: forwarder_test.go: assertion failed: result.Outcome.NotRun() && !result.Outcome.EndpointFault(): malformed

--- a/wharf/state/wharfoutcome/outcome.go
+++ b/wharf/state/wharfoutcome/outcome.go
@@ -6,7 +6,7 @@
 // Outcomes of an attempt.
 const (
 	NotSent        Outcome = iota + 1 // no connection was established, so the endpoint has not seen the request
-	Declined                          // the endpoint reported that it has not run the request and will not
+	Declined                          // the endpoint has not run the request and will not: it said so, or the request can't be written
 	WrongEndpoint                     // another endpoint answered at the address; the request was not run
 	Failed                            // the endpoint ran the request and answered with an error
 	ConnectionLost                    // the connection was lost after the request was sent
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -125,8 +125,8 @@
 // outcomeOf classifies the error of an attempt.
 func outcomeOf(ctx context.Context, err error) wharfoutcome.Outcome {
 	switch {
-	case errors.Is(err, errDeclined):
-		return wharfoutcome.Declined
+	case errors.Is(err, errDeclined), errors.Is(err, wharfhttpconn.ErrInvalidRequest):
+		return wharfoutcome.Declined // nothing has run, and the endpoint is not at fault
 	case errors.Is(err, errWrongEndpoint):
 		return wharfoutcome.WrongEndpoint
 	case errors.Is(err, errServerError), errors.Is(err, errNotContinued):
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -414,3 +414,13 @@
 		})
 	}
 }
+
+// TestRequestThatCannotBeWrittenIsNoFaultOfTheEndpoint guards against endpoints that get no more requests because one, such as
+// that of an organisation with a line end in its name, can't be sent.
+func TestRequestThatCannotBeWrittenIsNoFaultOfTheEndpoint(t *testing.T) {
+	e := newEndpoint(t, func(id string, _ int) []string { return []string{stream(id, 1, 1) + lastChunk} })
+	result := do(t, New(dialect{}, wharfhttpconn.NewPool()), exchange(e, "x\ny"), &recordingSink{})
+	assert.Assert(t, errors.Is(result.Err, wharfhttpconn.ErrInvalidRequest), "%v", result.Err)
+	assert.Assert(t, result.Outcome.NotRun() && !result.Outcome.EndpointFault(), "%v", result.Outcome)
+	assert.Equal(t, len(e.requests), 0)
+}
