--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -64,6 +64,7 @@
 	configurationSync syncState
 	endpoints         map[string]registration
 	endpointSync      syncState
+	evacuations       evacuationState // known up to configurationSync.version
 }
 
 // syncState is the store version up to which a table is known, and the time at which the store confirmed it.
@@ -81,7 +82,10 @@
 
 // New returns an empty Directory.
 func New(options Options) *Directory {
-	d := &Directory{options: options, endpoints: map[string]registration{}}
+	d := &Directory{
+		options: options, endpoints: map[string]registration{},
+		evacuations: evacuationState{startedAt: map[string]time.Time{}, unmatched: map[string]bool{}},
+	}
 	d.configurationSync.follower = wharffollower.New("configuration", 0,
 		func() uint64 { return d.versionOf(&d.configurationSync) })
 	d.endpointSync.follower = wharffollower.New("endpoints", endpointPollInterval,
@@ -131,6 +135,7 @@
 		ConfigurationVersion: d.configurationSync.version,
 		EndpointsVersion:     d.endpointSync.version,
 		Age:                  max(time.Since(d.configurationSync.confirmedAt), time.Since(d.endpointSync.confirmedAt)),
+		Evacuations:          d.evacuations.set,
 	}
 	for _, r := range d.endpoints {
 		s.Endpoints = append(s.Endpoints, r.endpoint)
@@ -158,7 +163,7 @@
 	return d.configurationSync.follower.Serve(ctx, func(ctx context.Context, full bool) error {
 		page, err := d.poll(ctx, table, full, &d.configurationSync, configurationPollWait)
 		if err == nil {
-			d.applyConfiguration(page, key)
+			d.applyConfiguration(page, key, full)
 		}
 		return err
 	})
@@ -200,12 +205,19 @@
 	return true
 }
 
-func (d *Directory) applyConfiguration(page wharfrecords.Page, key string) {
+func (d *Directory) applyConfiguration(page wharfrecords.Page, key string, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.configurationSync.advance(page.Version, 0) {
 		return
 	}
+	set, changes := d.evacuations.set, d.evacuationChanges(page.Rows)
+	if full {
+		set = set.Replace(page.Version, changes)
+	} else {
+		set = set.Advance(page.Version, changes)
+	}
+	changed := d.setEvacuations(set, "store", 0)
 	for _, row := range page.Rows {
 		if row.Key != key || row.Deleted {
 			continue
@@ -215,14 +227,18 @@
 			klog.ErrorS(err, "failed to decode configuration; keeping the previous one", "row-version", row.Version)
 			continue
 		}
-		d.activate(&configuration, "store")
+		changed = d.activate(&configuration, "store") || changed
+	}
+	if changed {
+		d.publish()
 	}
 }
 
-// activate puts a configuration into force unless the current one is as new. The caller holds d.mu.
-func (d *Directory) activate(configuration *wharfroute.Configuration, source string) {
+// activate puts a configuration into force unless the current one is as new, and reports whether it did. The caller holds
+// d.mu.
+func (d *Directory) activate(configuration *wharfroute.Configuration, source string) bool {
 	if d.configuration != nil && configuration.Version <= d.configuration.Version {
-		return
+		return false
 	}
 	before := uint64(0)
 	if d.configuration != nil {
@@ -231,13 +247,13 @@
 	klog.InfoS("configuration in force", "configuration-version", configuration.Version, "before", before,
 		"source", source, "routes", len(configuration.Routes), "organisations", len(configuration.Organisations))
 	d.configuration = configuration
-	d.publish()
+	return true
 }
 
 // publish replaces the view with the current state. The caller holds d.mu.
 func (d *Directory) publish() {
-	v := &View{}
-	if d.configuration != nil {
+	v := &View{Evacuations: d.evacuations.set}
+	if d.configuration != nil && d.evacuations.set != nil {
 		previous := d.view.Load().Table
 		if previous != nil && previous.Version == d.configuration.Version {
 			v.Table = previous
@@ -273,6 +289,7 @@
 		}
 	}
 	changed = d.removeExpired() || changed
+	d.matchEvacuations()
 	if changed {
 		d.publish()
 	}
@@ -358,12 +375,27 @@
 	}
 }
 
+// mergeConfiguration applies the configuration and the evacuated zones of a peer's snapshot if they are newer than the local
+// ones, and reports whether the view changes. A peer of an older build does not tell the zones: its configuration is used, but
+// the store is still read from the version before, so that no change of the zones is missed. The caller holds d.mu.
+func (d *Directory) mergeConfiguration(s Snapshot) (changed bool) {
+	switch {
+	case s.Configuration == nil || s.ConfigurationVersion < d.configurationSync.version:
+		return false
+	case s.Evacuations == nil:
+		return d.activate(s.Configuration, "peer")
+	}
+	d.configurationSync.advance(s.ConfigurationVersion, s.Age)
+	changed = d.setEvacuations(d.evacuations.set.Merge(s.Evacuations), "peer", s.Age)
+	return d.activate(s.Configuration, "peer") || changed
+}
+
 // Merge applies the parts of a peer's snapshot that are newer than the local state.
 func (d *Directory) Merge(s Snapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s.Configuration != nil && d.configurationSync.advance(s.ConfigurationVersion, s.Age) {
-		d.activate(s.Configuration, "peer")
+	if d.mergeConfiguration(s) {
+		d.publish()
 	}
 	if s.EndpointsVersion <= d.endpointSync.version {
 		return
--- a/wharf/coordination/wharfdirectory/directory_test.go
+++ b/wharf/coordination/wharfdirectory/directory_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,10 @@
 func (decoder) ConfigurationKey() (table, key string) { return "configuration", "newest" }
 func (decoder) EndpointTable() string                 { return "endpoints" }
 
+func (decoder) EvacuatedZone(key string) (zone string, found bool) {
+	return strings.CutPrefix(key, "empty:")
+}
+
 func (decoder) Configuration(value []byte) (wharfroute.Configuration, error) {
 	version, err := strconv.ParseUint(string(value), 10, 64)
 	return wharfroute.Configuration{Version: version}, err
@@ -35,7 +40,7 @@
 	if string(row.Value) == "unreadable" {
 		return wharffleet.Endpoint{}, errors.New("unreadable")
 	}
-	return wharffleet.Endpoint{ID: row.Key, Leaving: string(row.Value) == "leaving"}, nil
+	return wharffleet.Endpoint{ID: row.Key, Zone: "zone", Leaving: string(row.Value) == "leaving"}, nil
 }
 
 type fixture struct {
@@ -211,7 +216,7 @@
 			other.applyEndpoints(page, true)
 			page, err = wharfrecords.ReadAll(t.Context(), f.store, wharfrecords.Range{Table: "configuration"})
 			assert.NilError(t, err)
-			other.applyConfiguration(page, "newest")
+			other.applyConfiguration(page, "newest", true)
 		}
 		syncOther()
 		f.peer.Store(other)
--- a/wharf/coordination/wharfdirectory/view.go
+++ b/wharf/coordination/wharfdirectory/view.go
@@ -5,6 +5,7 @@
 
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfevacuation"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfroute"
 )
@@ -13,6 +14,8 @@
 type Decoder interface {
 	// ConfigurationKey returns the table and key of the configuration row.
 	ConfigurationKey() (table, key string)
+	// EvacuatedZone returns the zone whose evacuation a row of the configuration's table requests, whatever the row's value.
+	EvacuatedZone(key string) (zone string, found bool)
 	// EndpointTable returns the table of the endpoint rows.
 	EndpointTable() string
 	// Configuration decodes the value of the configuration row.
@@ -23,8 +26,10 @@
 
 // View is an immutable snapshot of the configuration and the endpoints.
 type View struct {
-	Table     *wharfroute.Table // nil until a configuration is known
+	Table     *wharfroute.Table // nil until a configuration and the evacuated zones are known
 	Endpoints []wharffleet.Endpoint
+	// Evacuations is the set of evacuated zones, nil until it is known. It is known whenever Table is.
+	Evacuations *wharfevacuation.Set
 }
 
 // Snapshot is the configuration and the endpoints as a host sends them to a peer.
@@ -35,4 +40,7 @@
 	EndpointsVersion     uint64
 	Age                  time.Duration      // time since the store confirmed the state
 	Admitted             []wharfcall.Origin // versions at which streams may begin
+	// Evacuations is the set of evacuated zones at ConfigurationVersion. It is nil in the snapshot of a host that does not
+	// know it, and of a host of an older build.
+	Evacuations *wharfevacuation.Set
 }
