Evacuation: no endpoint of an evacuated zone is chosen or sent to

One decision, wharffleet.takesRequests, says whether an endpoint gets requests. Pick, Adopt, free slots, Serves, and with them the allocators, the zone's queue, the batch runner, retries and continuations depend on it. A requester also names the endpoints of its evacuated zone as unavailable, for allocators of an older build. The forwarder asks Placement.MaySend again when the connection is open, right before it sends, for online requests and batch items; a request that is withdrawn then has not run and is placed again.

A host that was suspended for more than 4 s takes nothing it knows for current until a poll of the store has ended. Online requests wait 0.3 s for that and are then refused as not run (zones-unknown); a lost store, whose polls fail, is no cause.

Counter unplaced-during-evacuation, variable evacuated-zones.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -126,6 +126,7 @@
 	h.directory = wharfdirectory.New(wharfdirectory.Options{
 		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
 	})
+	h.fleet.RequireCurrent(h.directory.Current)
 	h.limiter = wharflimiter.New(wharflimiter.Options{
 		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
 		Allocators:       h.gossip.Allocators,
@@ -157,6 +158,8 @@
 		Table:            h.table,
 		ConfigurationAge: h.directory.Age,
 		EndpointsAge:     h.directory.EndpointsAge,
+		AwaitCurrent:     h.directory.AwaitCurrent,
+		Evacuates:        h.fleet.Evacuates,
 		Limiter:          h.limiter,
 		Gate:             h.gate,
 		Allocator:        h.allocator,
@@ -207,6 +210,7 @@
 // onViewChange applies a new configuration or a new set of endpoints.
 func (h *Host) onViewChange(v *wharfdirectory.View) {
 	h.releases.Update(v.Endpoints)
+	h.fleet.SetEvacuations(v.Evacuations)
 	h.fleet.Update(v.Endpoints)
 	if v.Table == nil {
 		return
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -160,6 +160,7 @@
 		"configuration-age-ms": h.directory.Age().Milliseconds(),
 		"allocators":           h.allocatorNames(),
 		"rate-shares":          h.rateShares().Used,
+		"evacuated-zones":      h.directory.View().Evacuations.Zones(),
 	}
 	if table := h.table(); table != nil {
 		vars["configuration-version"] = table.Version
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -64,7 +64,9 @@
 	configurationSync syncState
 	endpoints         map[string]registration
 	endpointSync      syncState
-	evacuations       evacuationState // known up to configurationSync.version
+	evacuations       evacuationState           // known up to configurationSync.version
+	polledAt          atomic.Pointer[time.Time] // end of the last poll for configuration changes; nil before the first
+	polled            chan struct{}             // closed at the end of the next one
 }
 
 // syncState is the store version up to which a table is known, and the time at which the store confirmed it.
@@ -83,7 +85,7 @@
 // New returns an empty Directory.
 func New(options Options) *Directory {
 	d := &Directory{
-		options: options, endpoints: map[string]registration{},
+		options: options, endpoints: map[string]registration{}, polled: make(chan struct{}),
 		evacuations: evacuationState{startedAt: map[string]time.Time{}, unmatched: map[string]bool{}},
 	}
 	d.configurationSync.follower = wharffollower.New("configuration", 0,
@@ -161,10 +163,12 @@
 func (d *Directory) followConfiguration(ctx context.Context) error {
 	table, key := d.options.Decoder.ConfigurationKey()
 	return d.configurationSync.follower.Serve(ctx, func(ctx context.Context, full bool) error {
+		start := time.Now()
 		page, err := d.poll(ctx, table, full, &d.configurationSync, configurationPollWait)
 		if err == nil {
 			d.applyConfiguration(page, key, full)
 		}
+		d.pollEnded(time.Since(start))
 		return err
 	})
 }
@@ -189,8 +193,8 @@
 	if full {
 		return wharfrecords.ReadAll(ctx, d.options.Store, wharfrecords.Range{Table: table})
 	}
-	if state.follower.Down() {
-		wait = 0 // answer immediately, to separate changes during the outage from later ones
+	if state.follower.Down() || !d.Current() {
+		wait = 0 // answer immediately, to separate changes during the outage or suspension from later ones
 	}
 	return d.options.Store.Changes(ctx, table, d.versionOf(state), wait)
 }
--- a/wharf/coordination/wharfdirectory/evacuation_test.go
+++ b/wharf/coordination/wharfdirectory/evacuation_test.go
@@ -191,3 +191,53 @@
 		assert.Equal(t, len(d.View().Evacuations.Zones()), 0)
 	})
 }
+
+// TestHostIsNotCurrentAfterItWasFrozen guards against a host that was suspended during a change and goes on with the set that
+// it knew before. A frozen process is played by polls that neither end nor fail, as their time limits are frozen too.
+func TestHostIsNotCurrentAfterItWasFrozen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{Decoder: decoder{}, OnChange: func(*View) {}})
+		assert.Assert(t, d.AwaitCurrent(t.Context()), "a host that has just started is not ready, and needs no other guard")
+		d.pollEnded(0)
+		assert.Assert(t, d.Current())
+		time.Sleep(maxPollGap)
+		assert.Assert(t, d.Current(), "polls may take as long")
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !d.Current())
+		start := time.Now()
+		assert.Assert(t, !d.AwaitCurrent(t.Context()))
+		assert.Equal(t, time.Since(start), currentWait)
+		d.pollEnded(10 * time.Second)
+		assert.Assert(t, !d.Current(), "the poll was frozen too, so that its failure, or its answer of before, says nothing")
+		time.AfterFunc(currentWait/2, func() { d.pollEnded(time.Millisecond) })
+		assert.Assert(t, d.AwaitCurrent(t.Context()))
+	})
+}
+
+// TestHostWithoutStoreStaysCurrent guards against requests that are refused for as long as the store does not answer.
+func TestHostWithoutStoreStaysCurrent(t *testing.T) {
+	for name, fault := range map[string]func(string) error{
+		"refused": func(string) error { return wharfrecords.ErrUnavailable },
+		"silent": func(string) error {
+			time.Sleep(configurationPollWait + replyTimeout)
+			return wharfrecords.ErrUnavailable
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(f *fixture) {
+				for range 100 {
+					f.sleep(100 * time.Millisecond)
+					assert.Assert(t, f.directory.Current(), "a quiet store")
+				}
+				f.store.SetFault(fault)
+				for range 300 {
+					f.sleep(100 * time.Millisecond)
+					assert.Assert(t, f.directory.Current(), "a lost store")
+				}
+				f.up()
+				f.sleep(time.Minute)
+				assert.Assert(t, f.directory.Current())
+			})
+		})
+	}
+}
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfevacuation"
 )
 
 const (
@@ -56,6 +57,8 @@
 	lastSilenceCheck time.Time
 	position         float64 // of this host among the hosts of its zone, in [0, 1)
 	hosts            int     // number of hosts in the zone
+	evacuations      *wharfevacuation.Set
+	current          func() bool // whether evacuations are those in force
 }
 
 // New returns an empty fleet for a host in a zone. changed is called, with the fleet's lock held, when this host's load
@@ -72,6 +75,7 @@
 		changed:       changed,
 		connected:     func(netip.AddrPort) bool { return false },
 		admits:        func(*Endpoint, time.Time) bool { return true },
+		current:       func() bool { return true },
 		random:        rand.Float64,
 		announcements: map[incarnation]*announcement{},
 		hosts:         1,
@@ -242,7 +246,7 @@
 	return loads
 }
 
-// FreeSlots returns the number of free slots over all endpoints of a service that are available and not leaving.
+// FreeSlots returns the number of free slots over all endpoints of a service that are available and take requests.
 func (f *Fleet) FreeSlots(service string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -250,19 +254,19 @@
 	f.checkSilence(now)
 	free := 0
 	for e := range f.services[service].all() {
-		if !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
+		if f.takesRequests(e) && e.available(false, now) && e.announcement.accepts(now) {
 			free += max(0, e.Slots-e.online-e.batch)
 		}
 	}
 	return free
 }
 
-// Serves reports whether there is an endpoint of a service and version that is not leaving.
+// Serves reports whether there is an endpoint of a service and version that takes requests.
 func (f *Fleet) Serves(origin wharfcall.Origin) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for e := range f.services[origin.Service].all() {
-		if e.Version == origin.Version && !e.leaves() {
+		if e.Version == origin.Version && f.takesRequests(e) {
 			return true
 		}
 	}
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -96,7 +96,7 @@
 		if i >= subset && sel.hasFree && float64(sel.freeSlots) >= minFreeShare*float64(sel.totalSlots) {
 			return
 		}
-		if e.leaves() || sel.Version != "" && e.Version != sel.Version || !e.available(sel.LastAttempt, sel.now) {
+		if !f.takesRequests(e) || sel.Version != "" && e.Version != sel.Version || !e.available(sel.LastAttempt, sel.now) {
 			continue
 		}
 		if !sel.mayRunAt(f, e) {
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -10,7 +10,7 @@
 	Host        string
 	Position    float64  // in the rings of endpoints, see Fleet.SetPosition
 	Connected   []string // IDs of endpoints to which it has an open connection
-	Unavailable []string // IDs of endpoints that it has ejected
+	Unavailable []string // IDs of endpoints that it has ejected, or of a zone that it knows to be evacuated
 }
 
 // position returns where the requester starts in the rings of endpoints.
@@ -48,6 +48,10 @@
 		if i >= subset {
 			break
 		}
+		if f.evacuations.Includes(e.Zone) {
+			r.Unavailable = append(r.Unavailable, e.ID) // an allocator of an older build does not know of evacuations
+			continue
+		}
 		if f.connected(e.Address) {
 			r.Connected = append(r.Connected, e.ID)
 		}
@@ -59,13 +63,13 @@
 }
 
 // Adopt places a request of this host on the endpoint that another host has chosen. It reports false if this host knows
-// the endpoint as leaving, as one of another version than the request needs, or not at all.
+// the endpoint as one that takes no requests, as one of another version than the request needs, or not at all.
 func (f *Fleet) Adopt(id string, r Request, suspect bool) (*Placement, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[id]
 	// A host of an older build does not know that the request needs a version.
-	if e == nil || e.leaves() || r.Version != "" && e.Version != r.Version ||
+	if e == nil || !f.takesRequests(e) || r.Version != "" && e.Version != r.Version ||
 		!r.Batch && r.Version == "" && !f.admits(&e.Endpoint, time.Now()) {
 		return nil, false
 	}
@@ -119,7 +123,7 @@
 		if !countBatch {
 			slots = e.Slots - e.online - e.batch
 		}
-		if slots > 0 && !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
+		if slots > 0 && f.takesRequests(e) && e.available(false, now) && e.announcement.accepts(now) {
 			free[e.Zone] += slots
 		}
 	}
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -48,6 +48,7 @@
 	FirstEventTimeout time.Duration              // longest wait for the response's header and first event
 	IdleTimeout       time.Duration              // longest pause between later reads
 	StallTimeout      time.Duration              // wait for the response's header after which OnStall is called; 0 for never
+	MaySend           func() bool                // asked when a connection is open; if false, the request is not sent; may be nil
 	OnStall           func(stalled bool)         // called with true, and with false when the wait ends
 	OnResponse        func(r wharfcall.Response) // called when the header of the endpoint's response has arrived; may be nil
 }
@@ -110,6 +111,9 @@
 	return a.result
 }
 
+// errWithdrawn means that the request was not sent because the endpoint no longer gets requests.
+var errWithdrawn = errors.New("endpoint no longer gets requests")
+
 // Sentinel errors of attempts that failed after the request was sent.
 var (
 	errDeclined      = errors.New("endpoint declined the request")
@@ -125,7 +129,7 @@
 // outcomeOf classifies the error of an attempt.
 func outcomeOf(ctx context.Context, err error) wharfoutcome.Outcome {
 	switch {
-	case errors.Is(err, errDeclined), errors.Is(err, wharfhttpconn.ErrInvalidRequest):
+	case errors.Is(err, errDeclined), errors.Is(err, errWithdrawn), errors.Is(err, wharfhttpconn.ErrInvalidRequest):
 		return wharfoutcome.Declined // nothing has run, and the endpoint is not at fault
 	case errors.Is(err, errWrongEndpoint):
 		return wharfoutcome.WrongEndpoint
@@ -148,6 +152,10 @@
 	if err != nil {
 		return err
 	}
+	if a.MaySend != nil && !a.MaySend() {
+		conn.Close()
+		return errWithdrawn
+	}
 	a.conn = conn
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -424,3 +424,20 @@
 	assert.Assert(t, result.Outcome.NotRun() && !result.Outcome.EndpointFault(), "%v", result.Outcome)
 	assert.Equal(t, len(e.requests), 0)
 }
+
+// TestWithdrawnRequestIsNotSent guards against a request that is sent to an endpoint which ceased to get requests while the
+// connection was opened, and against such a request being held against the endpoint or taken for one that may have run.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	e := newEndpoint(t, func(id string, _ int) []string { return []string{stream(id, 1, 1) + lastChunk} })
+	f, x := New(dialect{}, wharfhttpconn.NewPool()), exchange(e, "x")
+	allowed := false
+	x.MaySend = func() bool { return allowed }
+	result := do(t, f, x, &recordingSink{})
+	assert.Equal(t, result.Outcome, wharfoutcome.Declined, "%v", result.Err)
+	assert.Assert(t, result.Outcome.NotRun() && !result.Outcome.EndpointFault())
+	allowed = true
+	assert.Equal(t, do(t, f, x, &recordingSink{}).Outcome, wharfoutcome.Outcome(0))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.DeepEqual(t, e.requests, []string{"x"})
+}
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -115,6 +115,9 @@
 // run tries endpoints until the request is answered or no further attempt is allowed.
 func (o *online) run(ctx context.Context) error {
 	for {
+		if !o.server.options.AwaitCurrent(ctx) && ctx.Err() == nil {
+			return o.refuseOutdated()
+		}
 		placement, err := o.acquireSlot(ctx)
 		if err != nil {
 			return o.refuseUnplaced(ctx, err)
@@ -155,6 +158,18 @@
 	}
 }
 
+// refuseOutdated refuses a request because this host was suspended and does not know yet where it may be sent.
+func (o *online) refuseOutdated() error {
+	klog.InfoS("evacuated zones not known to be current", o.logFields("sends", o.sends, "runs", o.runs)...)
+	switch {
+	case o.started:
+		return o.abortResponse("evacuated zones not known to be current")
+	case o.runs > 0:
+		return errEndpointFailed
+	}
+	return o.withRetryAfter(errOutdated)
+}
+
 // outOfStep reports whether a stream that the caller takes up may be placed at another version, because this host has not
 // read the registrations lately.
 func (o *online) outOfStep() bool {
@@ -186,6 +201,10 @@
 
 // refuseUnplaced refuses a request for which no endpoint was found.
 func (o *online) refuseUnplaced(ctx context.Context, err error) error {
+	if o.server.options.Evacuates(wharfcall.Origin{Service: o.service, Version: o.version}) && ctx.Err() == nil {
+		o.server.options.Metrics.Count("unplaced-during-evacuation")
+		klog.InfoS("no slot outside of the evacuated zones", o.logFields("service", o.service, "version", o.version)...)
+	}
 	switch {
 	case o.started:
 		return o.abortResponse("no endpoint of version " + o.version + " available to resume on")
@@ -233,6 +252,7 @@
 		FirstEventTimeout: first,
 		IdleTimeout:       gap,
 		StallTimeout:      wharftimeout.StallTimeout(o.route),
+		MaySend:           placement.MaySend,
 		OnStall:           func(stalled bool) { o.setStalled(placement, stalled) },
 		OnResponse:        func(r wharfcall.Response) { o.hear(placement, r) },
 	}, o)
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -67,6 +67,8 @@
 		"the version that began the stream is not known, so that it can not continue")
 	errVersionGone = wharfrefusal.New(http.StatusServiceUnavailable, "stream-version-gone",
 		"no endpoint of the version that began the stream works at present, so that it can not continue")
+	errOutdated = wharfrefusal.New(http.StatusServiceUnavailable, "zones-unknown",
+		"this host was suspended and does not know yet which zones are evacuated; try another")
 	errDeclined = wharfrefusal.New(http.StatusServiceUnavailable, "declined",
 		"the endpoints have not run the request; come back later")
 	errTooLate = wharfrefusal.New(http.StatusServiceUnavailable, "too-late",
@@ -93,14 +95,19 @@
 	Table            func() *wharfroute.Table // nil until a configuration is known
 	ConfigurationAge func() time.Duration     // time since the configuration was last known to be current
 	EndpointsAge     func() time.Duration     // time since the endpoints were last known to be current
-	Limiter          *wharflimiter.Limiter
-	Gate             *wharfgate.Gate[*wharffleet.Placement]
-	Allocator        *wharfallocator.Allocator
-	Forwarder        *wharfforwarder.Forwarder
-	Origins          *wharforigins.Origins
-	Crashes          *wharfcrash.Tracker
-	Jobs             *wharfjobstore.Store
-	Metrics          *wharfmetrics.Metrics
+	// AwaitCurrent waits a short time until this host follows the evacuated zones, and reports whether it does; see
+	// wharfdirectory.
+	AwaitCurrent func(ctx context.Context) bool
+	// Evacuates reports whether endpoints of a service and version get no requests because their zone is evacuated.
+	Evacuates func(origin wharfcall.Origin) bool
+	Limiter   *wharflimiter.Limiter
+	Gate      *wharfgate.Gate[*wharffleet.Placement]
+	Allocator *wharfallocator.Allocator
+	Forwarder *wharfforwarder.Forwarder
+	Origins   *wharforigins.Origins
+	Crashes   *wharfcrash.Tracker
+	Jobs      *wharfjobstore.Store
+	Metrics   *wharfmetrics.Metrics
 	// ReportCrash records that an endpoint crashed under a request that it had not begun to answer. It returns the number of
 	// crashes counted against the request.
 	ReportCrash func(request wharfcrash.Request, endpoint wharffleet.Endpoint) int
--- a/wharf/transport/wharfjobexecutor/executor.go
+++ b/wharf/transport/wharfjobexecutor/executor.go
@@ -109,6 +109,7 @@
 		Streaming:         true,
 		FirstEventTimeout: firstEventTimeout,
 		IdleTimeout:       eventGapTimeout,
+		MaySend:           task.Placement.MaySend,
 		OnResponse:        func(r wharfcall.Response) { task.Placement.Hear(r) },
 	}, c)
 	if c.overlong {
