--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -216,7 +216,7 @@
 	placement, known := a.options.Fleet.Adopt(
 		grant.Endpoint, wharffleet.Request{Batch: r.Batch, Version: r.Version}, grant.Suspect)
 	if !known {
-		klog.InfoS("granted endpoint is unknown, leaving or of another version", "endpoint", grant.Endpoint,
+		klog.InfoS("granted endpoint is unknown, gets no requests or is of another version", "endpoint", grant.Endpoint,
 			"service", r.Service, "version", r.Version)
 		return nil, errUnanswered // the next report of this host's loads corrects the allocator's
 	}
