Soak: evacuations of zones, drawn from the seed on request

They have a generator of their own and are drawn only with the flag, so that existing seeds mean what they did. Checked: no request begins at an endpoint of an evacuated zone, from 5 s after the row on, unless its host or the store had a fault in the 5 s before.

--- a/wharf-load/main.go
+++ b/wharf-load/main.go
@@ -82,6 +82,7 @@
 			Usage: "the daemons' setting; 0 or 1 makes them a large fleet with allocators",
 		},
 		&cli.IntFlag{Name: "endpoints", Value: 6, Usage: "endpoints per run"},
+		&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones"},
 		&cli.DurationFlag{Name: "length", Value: 12 * time.Second, Usage: "period during which faults start"},
 		&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for settings and logs, which are kept for seeds that fail"},
 	}
@@ -102,8 +103,8 @@
 	return wharfseries.Run(ctx, wharfseries.Options{
 		Soak: wharfsoak.Options{
 			BinDir: bin, WorkDir: dir, Hosts: c.Int("hosts"), Endpoints: c.Int("endpoints"),
-			MaxMeshPeers: c.Int("max-mesh-peers"),
-			Duration:     c.Duration("length"),
+			MaxMeshPeers: c.Int("max-mesh-peers"), Evacuations: c.Bool("evacuations"),
+			Duration: c.Duration("length"),
 		},
 		FirstSeed:   c.Uint64("first"),
 		Seeds:       c.Int("seeds"),
--- a/wharf-load/wharfsoak/check.go
+++ b/wharf-load/wharfsoak/check.go
@@ -75,6 +75,7 @@
 	}
 	t.checkRateLimit(runs)
 	t.checkCrashingPrompts(runs)
+	t.checkEvacuations()
 	t.checkServedShare(recoveredAt)
 }
 
--- a/wharf-load/wharfsoak/faults.go
+++ b/wharf-load/wharfsoak/faults.go
@@ -150,8 +150,9 @@
 	},
 }
 
-// scheduleFaults draws the faults of a run, ordered by start time; faults may overlap. Peer, prompt and answer faults were
-// added later and are drawn from separate generators, so that existing seeds still draw the same other faults.
+// scheduleFaults draws the faults of a run, ordered by start time; faults may overlap. Peer, prompt and answer faults
+// and evacuations were added later and are drawn from separate generators, so that existing seeds still draw the same other
+// faults.
 func scheduleFaults(rng *rand.Rand, s *system) []faultEvent {
 	events := drawFaults(rng, baseFaults, minFaults+rng.IntN(extraFaults), s)
 	peerRNG := newRand(^s.options.Seed)
@@ -160,6 +161,10 @@
 	events = append(events, drawFaults(promptRNG, promptFaults, promptRNG.IntN(2), s)...)
 	answerRNG := newRand(s.options.Seed ^ answerFaultSeed)
 	events = append(events, drawFaults(answerRNG, answerFaults, answerRNG.IntN(maxAnswerFaults+1), s)...)
+	if s.options.Evacuations {
+		evacuationRNG := newRand(s.options.Seed ^ evacuationFaultSeed)
+		events = append(events, drawFaults(evacuationRNG, evacuationFaults, 1+evacuationRNG.IntN(maxEvacuations), s)...)
+	}
 	slices.SortFunc(events, func(a, b faultEvent) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.kind, b.kind))
 	})
--- a/wharf-load/wharfsoak/peer_faults.go
+++ b/wharf-load/wharfsoak/peer_faults.go
@@ -28,7 +28,7 @@
 
 // faultByKind returns the function that injects a kind of fault, or nil if the kind is unknown.
 func faultByKind(kind string) faultFunc {
-	for _, kinds := range []map[string]faultFunc{baseFaults, peerFaults, promptFaults, answerFaults} {
+	for _, kinds := range []map[string]faultFunc{baseFaults, peerFaults, promptFaults, answerFaults, evacuationFaults} {
 		if f := kinds[kind]; f != nil {
 			return f
 		}
--- a/wharf-load/wharfsoak/soak.go
+++ b/wharf-load/wharfsoak/soak.go
@@ -39,6 +39,8 @@
 	Duration  time.Duration // period during which faults start
 	// MaxMeshPeers is the daemons' setting of that name; with 0 or 1 they allocate slots as in large fleets.
 	MaxMeshPeers int
+	// Evacuations adds evacuations of zones to the faults of the seed.
+	Evacuations bool
 }
 
 // Result summarizes a run.
--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -65,6 +65,7 @@
 	endpoints     []*endpoint
 	storeFaults   faultSpans // faults that affect all hosts' access to the store
 	findings      findings
+	evacuations   evacuations
 
 	mu            sync.Mutex
 	crashing      []*request // requests with crashingPart
@@ -287,6 +288,9 @@
 // clearFaults removes all faults and restarts hosts and endpoints that are down.
 func (s *system) clearFaults(ctx context.Context) {
 	s.store.SetFault(nil)
+	for i := range zones {
+		s.endEvacuation(zoneOf(i))
+	}
 	for i, e := range s.endpoints {
 		e.proxy.SetFaults(wharfproxy.Faults{})
 		e.mu.Lock()
--- a/wharf-load/wharfsoak/traffic.go
+++ b/wharf-load/wharfsoak/traffic.go
@@ -114,14 +114,15 @@
 type takeUp struct {
 	id        string
 	stream    *request
+	host      *host // that was asked
 	lastEvent int
 	response  wharfstandin.Response
 }
 
 // takeUpStream asks another host to continue a stream after the last event that arrived.
 func (t *traffic) takeUpStream(ctx context.Context, caller *wharfstandin.Caller, r *request, last int) {
-	a := takeUp{id: fmt.Sprintf("again-%s", r.id), stream: r, lastEvent: last}
 	to := t.system.hosts[t.randomInt(len(t.system.hosts))]
+	a := takeUp{id: fmt.Sprintf("again-%s", r.id), stream: r, host: to, lastEvent: last}
 	a.response = caller.TakeUp(ctx, to.callerAddress, "/"+r.route+"/"+a.id, a.id, r.id, last)
 	t.mu.Lock()
 	defer t.mu.Unlock()
