Evacuation: suspended hosts wait for a poll only where evacuations are known

A host that was suspended refused requests, or held them for up to 300 ms, until it had asked the store for evacuated zones, in deployments that never evacuate too. It now does so only if it has heard of an evacuation. TestHostIsNotCurrentAfterItWasFrozen checks both.

--- a/wharf/coordination/wharfdirectory/current.go
+++ b/wharf/coordination/wharfdirectory/current.go
@@ -34,10 +34,11 @@
 }
 
 // Current reports whether this host follows the configuration and the evacuated zones, or knows that it can't because the
-// store does not answer. It is false after this process was suspended, until a poll has ended.
+// store does not answer. It is false after this process was suspended, until a poll has ended. A deployment in which this host
+// has not heard of any evacuation is always current, so that a suspension costs it no request.
 func (d *Directory) Current() bool {
 	at := d.polledAt.Load()
-	return at == nil || time.Since(*at) <= maxPollGap
+	return at == nil || time.Since(*at) <= maxPollGap || !d.View().Evacuations.Used()
 }
 
 // AwaitCurrent waits a short time until Current holds and reports whether it does.
--- a/wharf/coordination/wharfdirectory/evacuation_test.go
+++ b/wharf/coordination/wharfdirectory/evacuation_test.go
@@ -12,6 +12,7 @@
 
 	"wagtailwharf.example/wharf/coordination/wharffollower"
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
+	"wagtailwharf.example/wharf/state/wharfevacuation"
 	"wagtailwharf.example/wharf/state/wharfroute"
 )
 
@@ -199,6 +200,11 @@
 		d := New(Options{Decoder: decoder{}, OnChange: func(*View) {}})
 		assert.Assert(t, d.AwaitCurrent(t.Context()), "a host that has just started is not ready, and needs no other guard")
 		d.pollEnded(0)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, d.Current(), "no evacuation is known in this deployment")
+		evacuated := d.View().Evacuations.Advance(8, []wharfevacuation.Change{{Zone: "a", Version: 8}})
+		d.Merge(Snapshot{Configuration: &wharfroute.Configuration{Version: 3}, ConfigurationVersion: 8, Evacuations: evacuated})
+		d.pollEnded(0)
 		assert.Assert(t, d.Current())
 		time.Sleep(maxPollGap)
 		assert.Assert(t, d.Current(), "polls may take as long")
--- a/wharf/state/wharfevacuation/set.go
+++ b/wharf/state/wharfevacuation/set.go
@@ -40,6 +40,11 @@
 	return s.Ended[zone]
 }
 
+// Used reports whether any evacuation, in force or ended, is known.
+func (s *Set) Used() bool {
+	return s != nil && len(s.InForce)+len(s.Ended) > 0
+}
+
 // Zones returns the evacuated zones, sorted.
 func (s *Set) Zones() []string {
 	if s == nil {
