Placement by learned paces of endpoints, off by default, with its model

Endpoints of 0.55 and 1.2 of the usual speed got the same number of answers: placement knew free slots only.

wharfpace keeps the time between events of each endpoint, from answers that pass; Fleet.WeighEndpoints takes a factor into the weight. Paces within 1.5 of the service's median, unknown and old ones have the factor 1. Hosts attach what they have learned since their last call to reservations; an allocator tells samples of other zones' endpoints on.

wharfcapacity has speeds, pauses, answer times, the longest gap between events and allocators that are replaced.

--- a/wharf-load/wharfcapacity/allocation.go
+++ b/wharf-load/wharfcapacity/allocation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
@@ -45,13 +46,17 @@
 		},
 		Preempt: h.preempt,
 		Count:   func(string) {},
+		Paces:   h.paces,
 	})
 }
 
-// allocatorsOf returns the first hosts of a zone.
+// allocatorsOf returns the first hosts of a zone or, from AllocatorsLostAt on, those after them.
 func (s *simulation) allocatorsOf(zone int) []*host {
-	first := zone * s.Hosts
-	return s.hosts[first : first+min(allocatorsPerZone, s.Hosts)]
+	first, count := zone*s.Hosts, min(allocatorsPerZone, s.Hosts)
+	if s.AllocatorsLostAt > 0 && s.clock.now >= s.AllocatorsLostAt {
+		first += s.Hosts - count
+	}
+	return s.hosts[first : first+count]
 }
 
 func (s *simulation) listAllocators(zone int, self *host) []wharfgossip.AllocatorHost {
@@ -92,8 +97,12 @@
 	}
 }
 
-// sendZoneLoads tells the loads on the zone's endpoints to the allocators of the other zones.
+// sendZoneLoads tells the loads on the zone's endpoints to the allocators of the other zones, if this host is an allocator.
 func (h *host) sendZoneLoads() {
+	h.sim.clock.schedule(zoneLoadsInterval, h.sendZoneLoads)
+	if !slices.Contains(h.sim.allocatorsOf(h.zone), h) {
+		return
+	}
 	for zone := range h.sim.Zones {
 		if zone == h.zone {
 			continue
@@ -108,5 +117,4 @@
 			other.fleet.ReplaceLoads(zonePrefix+zoneName(h.zone), loads)
 		}
 	}
-	h.sim.clock.schedule(zoneLoadsInterval, h.sendZoneLoads)
 }
--- a/wharf-load/wharfcapacity/engine.go
+++ b/wharf-load/wharfcapacity/engine.go
@@ -11,6 +11,9 @@
 	clock     *clock
 	slots     int
 	slowdown  float64 // of each request, per other running request
+	speed     float64 // work per second of a request that runs alone
+	pausing   bool
+	eventWork float64 // seconds of work between two events
 	running   []*inference
 	waiting   []*inference
 	updatedAt time.Duration // when the remaining work was last updated
@@ -26,10 +29,11 @@
 	onFirstEvent func()
 	onDone       func()
 	cancelled    bool
+	longestGap   time.Duration // between two events
 }
 
 func newEngine(c *clock, slots int, slowdown float64) *engine {
-	return &engine{clock: c, slots: slots, slowdown: slowdown}
+	return &engine{clock: c, slots: slots, slowdown: slowdown, speed: 1}
 }
 
 // submit queues a request unless it was canceled on its way.
@@ -54,7 +58,21 @@
 
 // rate returns the seconds of work that each running request completes per second.
 func (e *engine) rate() float64 {
-	return 1 / (1 + e.slowdown*float64(max(0, len(e.running)-1)))
+	rate := e.speed / (1 + e.slowdown*float64(max(0, len(e.running)-1)))
+	if e.pausing {
+		rate /= pauseSlowdown
+	}
+	return rate
+}
+
+// pauseSlowdown is how much slower an engine is while it pauses.
+const pauseSlowdown = 2.5
+
+// setPausing begins or ends a pause.
+func (e *engine) setPausing(pausing bool) {
+	e.advance()
+	e.pausing = pausing
+	e.reschedule()
 }
 
 // advance subtracts the work done since the last update.
@@ -73,6 +91,10 @@
 		e.waiting = e.waiting[1:]
 	}
 	e.version++
+	gap := time.Duration(e.eventWork / e.rate() * float64(time.Second))
+	for _, r := range e.running {
+		r.longestGap = max(r.longestGap, gap)
+	}
 	if len(e.running) == 0 {
 		return
 	}
--- a/wharf-load/wharfcapacity/host.go
+++ b/wharf-load/wharfcapacity/host.go
@@ -9,6 +9,7 @@
 
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfpace"
 )
 
 const (
@@ -26,6 +27,7 @@
 	name           string
 	zone           int
 	fleet          *wharffleet.Fleet
+	paces          *wharfpace.Paces // nil unless Options.ByCost is set
 	changesPending bool
 	backlog        []float64 // seconds of work of each queued batch item
 	running        []*item   // running batch items
@@ -41,9 +43,12 @@
 func (s *simulation) addHost(zone, index int, endpoints []wharffleet.Endpoint) {
 	h := &host{sim: s, name: fmt.Sprintf("h%d-%d", zone, index), zone: zone}
 	h.fleet = wharffleet.New(h.name, zoneName(zone), h.scheduleChanges)
+	if s.ByCost {
+		h.weighByPace()
+	}
 	h.fleet.Update(endpoints)
 	h.allocator = s.newAllocator(h)
-	if s.Allocators && index == 0 {
+	if s.Allocators && (index == 0 || index == s.Hosts-1) {
 		s.clock.schedule(zoneLoadsInterval, h.sendZoneLoads)
 	}
 	s.hosts = append(s.hosts, h)
@@ -117,11 +122,18 @@
 		sim.record(arrivedAt, false)
 		return
 	}
-	r := &inference{
-		work: sim.jitter(sim.Work), prefill: sim.Prefill.Seconds(),
-		onFirstEvent: func() { sim.record(arrivedAt, true) }, onDone: placement.Release,
-	}
+	r := &inference{work: sim.jitter(sim.Work), prefill: sim.Prefill.Seconds()}
 	r.remaining = r.work
+	var firstEvent time.Duration
+	r.onFirstEvent = func() {
+		firstEvent = sim.clock.now
+		sim.record(arrivedAt, true)
+	}
+	r.onDone = func() {
+		sim.recordAnswer(arrivedAt, r)
+		h.learn(placement, r, firstEvent)
+		placement.Release()
+	}
 	h.send(placement, r)
 }
 
@@ -174,7 +186,12 @@
 		i := &item{endpoint: placement.Endpoint.ID, release: placement.Release}
 		i.inference = &inference{
 			work: work, remaining: work, prefill: sim.Prefill.Seconds(),
-			onFirstEvent: func() {}, onDone: func() { h.finishItem(i) },
+		}
+		var firstEvent time.Duration
+		i.inference.onFirstEvent = func() { firstEvent = sim.clock.now }
+		i.inference.onDone = func() {
+			h.learn(placement, i.inference, firstEvent)
+			h.finishItem(i)
 		}
 		h.running = append(h.running, i)
 		h.send(placement, i.inference)
--- a/wharf-load/wharfcapacity/model.go
+++ b/wharf-load/wharfcapacity/model.go
@@ -32,7 +32,16 @@
 	BatchWork     time.Duration
 	Objective     time.Duration // for the time to the first event
 	GossipDelays  GossipDelays
-	Allocators    bool // hosts ask an allocator of their zone for each slot, instead of telling all hosts each change
+	Speeds        []float64     // of the endpoints in turn, 1 for the usual; all 1 if empty
+	PauseShare    float64       // share of the endpoints that pause now and then
+	PauseInterval time.Duration // mean time between two pauses of such an endpoint
+	PauseDuration time.Duration // of a pause, on average
+	EventWork     time.Duration // between two events
+	ByCost        bool          // hosts weigh endpoints by their learned paces
+	// Allocators says that hosts ask an allocator of their zone for each slot, instead of telling all hosts each change.
+	Allocators bool
+	// AllocatorsLostAt is when other hosts take the allocators' place, knowing no loads and no paces; 0 for never.
+	AllocatorsLostAt time.Duration
 }
 
 // GossipDelays holds the delays after which hosts learn what others have placed.
@@ -50,6 +59,7 @@
 		BurstPeriod: 5800 * time.Millisecond, BurstDuration: 2400 * time.Millisecond,
 		Work: 580 * time.Millisecond, Prefill: 25 * time.Millisecond, Slowdown: 0.1,
 		BatchRate: 20, BatchWork: 2500 * time.Millisecond, Objective: 300 * time.Millisecond,
+		EventWork: 3270 * time.Microsecond,
 		GossipDelays: GossipDelays{
 			SameZone: 5 * time.Millisecond, OtherZones: 10 * time.Millisecond, FullInterval: 2300 * time.Millisecond,
 		},
@@ -86,6 +96,9 @@
 	BatchPreempted  int     // batch items stopped for online requests
 	Messages        int     // between hosts, about loads and slots
 	FirstEventTimes []time.Duration
+	AnswerTimes     []time.Duration // from the arrival to the end of the answer
+	LongestGap      time.Duration   // between two events of an answer
+	Weighed         int             // choices of an endpoint whose factor was not 1
 }
 
 // LateShare returns the share of online requests that were late.
@@ -100,21 +113,41 @@
 
 // Quantile returns a quantile, between 0 and 1, of the time to the first event; 0 if no request was served.
 func (r *Result) Quantile(quantile float64) time.Duration {
-	if len(r.FirstEventTimes) == 0 {
+	return quantileOf(r.FirstEventTimes, quantile)
+}
+
+// AnswerQuantile returns a quantile, between 0 and 1, of the time to the end of the answer; 0 if none has ended.
+func (r *Result) AnswerQuantile(quantile float64) time.Duration {
+	return quantileOf(r.AnswerTimes, quantile)
+}
+
+// MeanAnswerTime returns the mean time to the end of the answer; 0 if none has ended.
+func (r *Result) MeanAnswerTime() time.Duration {
+	var sum time.Duration
+	for _, d := range r.AnswerTimes {
+		sum += d
+	}
+	return sum / time.Duration(max(1, len(r.AnswerTimes)))
+}
+
+func quantileOf(times []time.Duration, quantile float64) time.Duration {
+	if len(times) == 0 {
 		return 0
 	}
-	slices.Sort(r.FirstEventTimes)
-	return r.FirstEventTimes[min(len(r.FirstEventTimes)-1, int(quantile*float64(len(r.FirstEventTimes))))]
+	slices.Sort(times)
+	return times[min(len(times)-1, int(quantile*float64(len(times))))]
 }
 
 // String describes the result on one line.
 func (r *Result) String() string {
 	return fmt.Sprintf(
-		"%d online, %.3f late, %.3f refused, worst second %.2f, first event p50 %v p95 %v, %d items done, %d preempted, "+
-			"%.1f messages for each request",
+		"%d online, %.3f late, %.3f refused, worst second %.2f, first event p50 %v p95 %v, answer mean %v p95 %v, "+
+			"longest gap %v, %d items done, %d preempted, %.1f messages for each request, %d weights changed",
 		r.Online, r.LateShare(), float64(r.Refused)/float64(max(1, r.Online)), r.WorstSecond,
 		r.Quantile(0.5).Round(time.Millisecond), r.Quantile(0.95).Round(time.Millisecond),
-		r.BatchCompleted, r.BatchPreempted, float64(r.Messages)/float64(max(1, r.Online)))
+		r.MeanAnswerTime().Round(time.Millisecond), r.AnswerQuantile(0.95).Round(time.Millisecond),
+		r.LongestGap.Round(time.Millisecond), r.BatchCompleted, r.BatchPreempted,
+		float64(r.Messages)/float64(max(1, r.Online)), r.Weighed)
 }
 
 // simulation holds the state of one run.
@@ -122,6 +155,7 @@
 	Options
 	clock     clock
 	rng       *rand.Rand
+	pauses    *rand.Rand // of the engines' pauses, which are the same for all variants of a load
 	hosts     []*host
 	engines   map[string]*engine
 	result    Result
@@ -131,8 +165,9 @@
 // Run simulates the load for Options.Duration. Requests are placed by the same code as in the daemons.
 func Run(options Options) *Result {
 	s := &simulation{
-		Options: options, rng: rand.New(rand.NewPCG(options.Seed, 1)), engines: map[string]*engine{},
-		perSecond: map[int][2]int{},
+		Options: options, rng: rand.New(rand.NewPCG(options.Seed, 1)),
+		pauses:  rand.New(rand.NewPCG(options.Seed, 2)),
+		engines: map[string]*engine{}, perSecond: map[int][2]int{},
 	}
 	endpoints := s.endpoints()
 	for zone := range s.Zones {
@@ -158,7 +193,7 @@
 			id := fmt.Sprintf("e%d-%d", zone, i)
 			endpoints = append(endpoints,
 				wharffleet.Endpoint{ID: id, Service: service, Zone: zoneName(zone), Slots: s.Slots})
-			s.engines[id] = newEngine(&s.clock, s.Slots, s.Slowdown)
+			s.engines[id] = s.newEngine(zone, i)
 		}
 	}
 	return endpoints
@@ -221,6 +256,12 @@
 	s.perSecond[second] = counts
 }
 
+// recordAnswer counts a whole answer of an online request.
+func (s *simulation) recordAnswer(arrivedAt time.Duration, r *inference) {
+	s.result.AnswerTimes = append(s.result.AnswerTimes, s.clock.now-arrivedAt)
+	s.result.LongestGap = max(s.result.LongestGap, r.longestGap)
+}
+
 // Compare simulates two variants of a load for seeds 1 to seeds. It returns the results of both, ordered by seed.
 func Compare(options, other Options, seeds int) (baseline, alternative []*Result) {
 	for seed := range seeds {
@@ -231,6 +272,25 @@
 	return baseline, alternative
 }
 
+// Merge returns the sum of results.
+func Merge(results []*Result) *Result {
+	sum := &Result{}
+	for _, r := range results {
+		sum.Online += r.Online
+		sum.Late += r.Late
+		sum.Refused += r.Refused
+		sum.WorstSecond = max(sum.WorstSecond, r.WorstSecond)
+		sum.BatchCompleted += r.BatchCompleted
+		sum.BatchPreempted += r.BatchPreempted
+		sum.Messages += r.Messages
+		sum.FirstEventTimes = append(sum.FirstEventTimes, r.FirstEventTimes...)
+		sum.AnswerTimes = append(sum.AnswerTimes, r.AnswerTimes...)
+		sum.LongestGap = max(sum.LongestGap, r.LongestGap)
+		sum.Weighed += r.Weighed
+	}
+	return sum
+}
+
 // Median returns the result with the median share of late requests.
 func Median(results []*Result) *Result {
 	sorted := slices.SortedFunc(slices.Values(results), func(a, b *Result) int {
--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -14,6 +14,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfgate"
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfpace"
 	"wagtailwharf.example/wharf/state/wharfpick"
 )
 
@@ -46,6 +47,8 @@
 	Forwarded bool
 	// MayPreempt allows a forwarded reservation to take the slot of a batch item.
 	MayPreempt bool
+	// Paces are samples that the sender has learned since its last call, at most maxSamples.
+	Paces []wharfpace.Sample
 }
 
 // Grant is an allocator's answer to a Reservation.
@@ -96,6 +99,8 @@
 	Preempt func(endpoint string)
 	// Count counts an event for the metrics.
 	Count func(name string)
+	// Paces takes and gives the samples of reservations; nil for none.
+	Paces *wharfpace.Paces
 }
 
 // Allocator gets slots for this host's requests, and grants slots to other hosts. It is safe for concurrent use.
@@ -170,6 +175,7 @@
 ) (*wharffleet.Placement, error) {
 	reservation := newReservation(r, a.options.Fleet.Requester(r.Service))
 	reservation.MaxWait = max(0, maxWait)
+	reservation.Paces = a.takeSamples("")
 	grant, err := a.call(ctx, to, reservation, reservation.MaxWait+answerTimeout)
 	if err != nil {
 		return nil, errUnanswered
@@ -248,6 +254,7 @@
 
 // Grant finds a slot for a request of another host. The slot counts for that host at once, until its own reports do.
 func (a *Allocator) Grant(ctx context.Context, reservation Reservation) Grant {
+	a.receiveSamples(reservation.Paces)
 	if !a.options.Ready() {
 		return Grant{Refusal: NotReady}
 	}
@@ -336,6 +343,7 @@
 			break
 		}
 		delete(free, zone)
+		reservation.Paces = a.takeSamples(zone)
 		for _, to := range a.options.Remote(zone) {
 			if a.IsSuspended(to.Host) {
 				continue
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -49,8 +49,9 @@
 	dirty     map[string]bool   // endpoints whose load from this host changed since the last call of Changes
 	changed   func()
 	connected func(address netip.AddrPort) bool
-	admits    func(e *Endpoint, now time.Time) bool // whether streams may begin there
-	random    func() float64                        // uniform in [0, 1)
+	admits    func(e *Endpoint, now time.Time) bool    // whether streams may begin there
+	factor    func(e *Endpoint, now time.Time) float64 // see WeighEndpoints
+	random    func() float64                           // uniform in [0, 1)
 	// announcements outlive the entries, whose registrations may lapse.
 	announcements    map[incarnation]*announcement
 	lastSilenceCheck time.Time
@@ -72,6 +73,7 @@
 		changed:       changed,
 		connected:     func(netip.AddrPort) bool { return false },
 		admits:        func(*Endpoint, time.Time) bool { return true },
+		factor:        func(*Endpoint, time.Time) float64 { return 1 },
 		random:        rand.Float64,
 		announcements: map[incarnation]*announcement{},
 		hosts:         1,
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -141,7 +141,7 @@
 	if sel.Batch && e.announcement.rate >= 0 {
 		weight *= limitedBatchWeight
 	}
-	weight *= factor
+	weight *= factor * f.factor(&e.Endpoint, sel.now)
 	sel.totalWeight += weight
 	if f.random()*sel.totalWeight < weight {
 		sel.chosen = e
