Hosts learn paces of endpoints from answers and batch items; setting [placement] by-cost

Attempts whose events took long to pass on say nothing, since a caller that reads slowly would make the endpoint count as slow.

--- a/wagtailwharfd/wharfhost/allocation.go
+++ b/wagtailwharfd/wharfhost/allocation.go
@@ -27,6 +27,7 @@
 		},
 		Preempt: h.requestYield,
 		Count:   h.metrics.Count,
+		Paces:   h.paces,
 	})
 }
 
--- a/wagtailwharfd/wharfhost/cluster_test.go
+++ b/wagtailwharfd/wharfhost/cluster_test.go
@@ -39,6 +39,7 @@
 	version       uint64
 	configuration wharfstandin.Configuration
 	maxMeshPeers  int
+	byCost        bool // for hosts that are started from now on
 }
 
 // runningHost is a started daemon; done receives the result of its Run.
@@ -168,6 +169,7 @@
 	settings.Store = netip.MustParseAddrPort(c.server.Listener.Addr().String())
 	settings.FirstStart = true
 	settings.MaxMeshPeers = c.maxMeshPeers
+	settings.Placement.ByCost = c.byCost
 	settings.Stop.Limit = wharfsettings.Duration(8 * time.Second)
 	return c.run(settings)
 }
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -30,6 +30,7 @@
 	"wagtailwharf.example/wharf/protocol/wharfhostsettings"
 	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfpace"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/transport/wharfdialer"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
@@ -55,6 +56,7 @@
 	gossip         *wharfgossip.Gossip
 	limiter        *wharflimiter.Limiter
 	fleet          *wharffleet.Fleet
+	paces          *wharfpace.Paces // nil unless the settings say that endpoints are weighed by them
 	releases       *wharfreleases.Releases
 	origins        *wharforigins.Origins
 	gate           *wharfgate.Gate[*wharffleet.Placement]
@@ -101,6 +103,7 @@
 	h.peerClient = wharfhostcalls.New(h.peerPool)
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.NotifyChange() })
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
+	h.weighByPace()
 	h.releases = wharfreleases.New(wharfreleases.Options{Store: h.store, Host: settings.Host, Live: h.liveHosts})
 	h.fleet.RestrictNewRequests(h.releases.Admits)
 	h.origins = wharforigins.New(wharforigins.Options{
@@ -150,6 +153,7 @@
 		Table:       h.table,
 		Peers:       h.gossip.Peers,
 		Allocator:   h.allocator,
+		Paces:       h.paces,
 		Retention:   time.Duration(h.settings.Jobs.Retention),
 	})
 	h.frontend = wharffrontend.New(wharffrontend.Options{
@@ -165,6 +169,7 @@
 		Crashes:          h.crashes,
 		Jobs:             h.jobs,
 		Metrics:          h.metrics,
+		Paces:            h.paces,
 		ReportCrash:      h.reportCrash,
 		ReportAnswer:     h.reportAnswer,
 		TryBlocked:       h.tryBlocked,
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -161,6 +161,9 @@
 		"allocators":           h.allocatorNames(),
 		"rate-shares":          h.rateShares().Used,
 	}
+	if h.paces != nil {
+		vars["paces"] = h.paces.Stats()
+	}
 	if table := h.table(); table != nil {
 		vars["configuration-version"] = table.Version
 	}
--- a/wharf/coordination/wharfjobrunner/finish.go
+++ b/wharf/coordination/wharfjobrunner/finish.go
@@ -39,6 +39,7 @@
 		i.origin = wharfcall.Origin{Service: placement.Endpoint.Service, Version: placement.Endpoint.Version}
 		i.runTime += time.Since(i.started)
 	}
+	r.options.Paces.Learn(placement.Sample(outcome.Events, outcome.EventSpan))
 	next := r.handleOutcome(route, i, placement, outcome)
 	reason := ""
 	if outcome.Err != nil {
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfjobstore"
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfpace"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharfschedule"
@@ -65,7 +66,8 @@
 	Table       func() *wharfroute.Table
 	Peers       func() []wharfgossip.Peer
 	Allocator   Allocator
-	Retention   time.Duration // how long a job can be read after its acceptance
+	Paces       *wharfpace.Paces // learns from items; nil for none
+	Retention   time.Duration    // how long a job can be read after its acceptance
 }
 
 // Allocator gets slots for items; see wharfallocator.Allocator.
--- a/wharf/coordination/wharfjobrunner/task.go
+++ b/wharf/coordination/wharfjobrunner/task.go
@@ -29,7 +29,8 @@
 	Text      []byte // data of the events, one line each
 	LastEvent int    // number of the last event
 	Events    int
-	Overlong  bool // the endpoint sent more than the task allows, so that the output is not that of the item
+	EventSpan time.Duration // from the first event to the last, 0 if that says nothing about the endpoint
+	Overlong  bool          // the endpoint sent more than the task allows, so that the output is not that of the item
 }
 
 // Executor runs attempts. When ctx ends, Execute stops and returns the output so far.
--- a/wharf/protocol/wharfhostsettings/settings.go
+++ b/wharf/protocol/wharfhostsettings/settings.go
@@ -26,10 +26,11 @@
 	ProcessorShare float64 `toml:"processor-share"`
 	// MaxMeshPeers is the number of other hosts up to which all hosts tell each other all changes directly. With more,
 	// two hosts of each zone allocate the slots of its endpoints.
-	MaxMeshPeers int  `toml:"max-mesh-peers"`
-	LogLevel     int  `toml:"log-level"`
-	Stop         Stop `toml:"stop"`
-	Jobs         Jobs `toml:"jobs"`
+	MaxMeshPeers int       `toml:"max-mesh-peers"`
+	LogLevel     int       `toml:"log-level"`
+	Stop         Stop      `toml:"stop"`
+	Jobs         Jobs      `toml:"jobs"`
+	Placement    Placement `toml:"placement"`
 }
 
 // Stop holds the settings of a planned shutdown.
@@ -44,6 +45,12 @@
 	Retention wharfsettings.Duration `toml:"keep"`
 }
 
+// Placement holds the settings of the choice of endpoints.
+type Placement struct {
+	// ByCost says that endpoints are weighed by the paces that were learned from their answers.
+	ByCost bool `toml:"by-cost"`
+}
+
 // Default returns the default settings.
 func Default() Settings {
 	return Settings{
--- a/wharf/protocol/wharfhostsettings/settings_test.go
+++ b/wharf/protocol/wharfhostsettings/settings_test.go
@@ -34,10 +34,14 @@
 	assert.Assert(t, s.FirstStart)
 	assert.Equal(t, s.ProcessorShare, 1.0)
 	assert.Equal(t, s.MaxMeshPeers, 24)
+	assert.Assert(t, !s.Placement.ByCost, "placement by paces is opt-in")
 	s, err = Parse([]byte(strings.Replace(valid, "memory-mb = 154", "memory-mb = 154\nprocessor-share = 2\nmax-mesh-peers = 0", 1)))
 	assert.NilError(t, err, "a whole number of cores needs no point")
 	assert.Equal(t, s.ProcessorShare, 2.0)
 	assert.Equal(t, s.MaxMeshPeers, 0)
+	s, err = Parse([]byte(valid + "[placement]\nby-cost = true\n"))
+	assert.NilError(t, err)
+	assert.Assert(t, s.Placement.ByCost)
 }
 
 func TestInvalidSettingsAreReported(t *testing.T) {
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -60,7 +60,9 @@
 	LastEvent        int  // number of the last event forwarded in this or an earlier attempt
 	Events           int  // number of events that this attempt forwarded
 	TimeToFirstEvent time.Duration
-	ErrorResponse    *ErrorResponse // the endpoint's response, if its status is 5xx
+	// EventSpan is the time from the first event of this attempt to the last, 0 if that says nothing about the endpoint.
+	EventSpan     time.Duration
+	ErrorResponse *ErrorResponse // the endpoint's response, if its status is 5xx
 }
 
 // ErrorResponse is an endpoint's response with a server error status.
@@ -91,6 +93,7 @@
 	filler    []byte // blocks without data before the first event
 	skipped   int    // bytes of the blocks without data since the last event
 	started   time.Time
+	span      eventSpan
 	reuseFor  time.Duration
 }
 
@@ -99,11 +102,14 @@
 	a := &attempt{Exchange: x, forwarder: f, sink: sink, started: time.Now()}
 	a.result.LastEvent = x.Attempt.LastEvent
 	err := a.run(ctx)
-	a.result.Err = err
+	a.result.Err, a.result.EventSpan = err, a.span.duration()
 	if err == nil {
 		return a.result
 	}
 	a.result.Outcome = outcomeOf(ctx, err)
+	if a.result.Outcome == wharfoutcome.Malformed {
+		a.result.EventSpan = 0
+	}
 	if a.result.Outcome == wharfoutcome.TimedOut {
 		f.pool.CloseIdle(x.Address)
 	}
@@ -384,9 +390,11 @@
 	if err := a.writeFiller(response); err != nil {
 		return err
 	}
+	received := time.Now()
 	if a.sink.WriteEvent(event, more) != nil {
 		return errCallerGone
 	}
+	a.span.add(received)
 	a.result.Events++
 	a.result.LastEvent = event.Number
 	a.skipped = 0
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -52,6 +52,7 @@
 	endpointVersion  string        // version of that endpoint
 	placementLoad    endpointLoad  // load of that endpoint at placement, as known to this host
 	endpointLimit    float64       // limit that its last response named, or wharfcall.NoLimit
+	pace             time.Duration // between two events of the last attempt, 0 if not known
 	crashes          int           // crashes counted under this request after the last attempt, 0 if that was none
 }
 
@@ -274,6 +275,7 @@
 	if o.timeToFirstEvent == 0 {
 		o.timeToFirstEvent = result.TimeToFirstEvent
 	}
+	o.learnPace(placement, result)
 	outcome := result.Outcome
 	if outcome != 0 && !outcome.NotRun() {
 		o.runs++
@@ -303,11 +305,11 @@
 	if o.continues() {
 		s.options.Metrics.Count("streams-continued")
 	}
-	klog.InfoS("request answered", o.logFields("endpoint", o.endpoint, "endpoint-version", o.endpointVersion,
+	klog.InfoS("request answered", append(o.logFields("endpoint", o.endpoint, "endpoint-version", o.endpointVersion,
 		"endpoint-online", o.placementLoad.online, "endpoint-batch", o.placementLoad.batch,
 		"endpoint-slots", o.placementLoad.slots, "endpoint-limit", o.endpointLimit, "sends", o.sends, "runs", o.runs, "events", o.events,
 		"waited", o.queueTime.String(), "first", o.timeToFirstEvent.String(), "total", total.String(),
-		"configuration-version", o.table.Version)...)
+		"configuration-version", o.table.Version), o.paceFields()...)...)
 }
 
 func (o *online) logAttempt(placement *wharffleet.Placement, result wharfforwarder.Result, action wharfoutcome.Action) {
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -20,6 +20,7 @@
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfpace"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharftimeout"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
@@ -101,6 +102,7 @@
 	Crashes          *wharfcrash.Tracker
 	Jobs             *wharfjobstore.Store
 	Metrics          *wharfmetrics.Metrics
+	Paces            *wharfpace.Paces // learns from answers; nil for none
 	// ReportCrash records that an endpoint crashed under a request that it had not begun to answer. It returns the number of
 	// crashes counted against the request.
 	ReportCrash func(request wharfcrash.Request, endpoint wharffleet.Endpoint) int
--- a/wharf/transport/wharfjobexecutor/executor.go
+++ b/wharf/transport/wharfjobexecutor/executor.go
@@ -121,6 +121,7 @@
 		Text:      c.text,
 		LastEvent: result.LastEvent,
 		Events:    result.Events,
+		EventSpan: result.EventSpan,
 		Overlong:  c.overlong,
 	}
 }
