--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -253,5 +253,14 @@
 mutant items-unchecked wharf/transport/wharffrontend/jobs.go 's/range items \{\n\t\tif err := items\[i\]/range items[:0] {\n\t\tif err := items[i]/' $host TestItemCannotHold
 mutant requests-unchecked wharf/transport/wharfhttpconn/conn.go 's/wharfcall\.ValidTarget\(r\.Target\)/wharfcall.ValidTarget("\/")/' \
 	./wharf/transport/wharfhttpconn FuzzSend
+mutant paces-ignored wharf/state/wharffleet/pick.go 's/ \* f\.factor\(&e\.Endpoint, sel\.now\)//' ./wharf/state/wharffleet \
+	'TestSlowEndpointIsUsed|TestPlacementOfAlike'
+mutant alike-paces-told-apart wharf/state/wharfpace/service.go 's/equalFactor = 1\.5/equalFactor = 1.01/' ./wharf/state/wharffleet \
+	TestPlacementOfAlike
+mutant paces-kept wharf/state/wharfpace/pace.go 's/maxWeight = 800/maxWeight = 800_000/' ./wharf/state/wharfpace TestEndpointThatChanges
+mutant samples-not-told wharf/coordination/wharfallocator/samples.go 's/a\.options\.Paces\.Receive\(.*?\n/_ = samples\n/' \
+	./wharf/coordination/wharfallocator TestAllocatorsLearn
+mutant slow-callers-slow-endpoints wharf/transport/wharfforwarder/span.go 's/s\.sinkTime > span\/maxSinkShare/false/' \
+	./wharf/transport/wharfforwarder TestEventSpan
 
 exit $failed
--- a/wharf-load/wharfcapacity/engine.go
+++ b/wharf-load/wharfcapacity/engine.go
@@ -68,6 +68,13 @@
 // pauseSlowdown is how much slower an engine is while it pauses.
 const pauseSlowdown = 2.5
 
+// setSpeed changes the speed of what runs from now on.
+func (e *engine) setSpeed(speed float64) {
+	e.advance()
+	e.speed = speed
+	e.reschedule()
+}
+
 // setPausing begins or ends a pause.
 func (e *engine) setPausing(pausing bool) {
 	e.advance()
--- a/wharf-load/wharfcapacity/model.go
+++ b/wharf-load/wharfcapacity/model.go
@@ -42,6 +42,8 @@
 	Allocators bool
 	// AllocatorsLostAt is when other hosts take the allocators' place, knowing no loads and no paces; 0 for never.
 	AllocatorsLostAt time.Duration
+	// SpeedsChangeAt is when each endpoint takes the speed of the one after it; 0 for never.
+	SpeedsChangeAt time.Duration
 }
 
 // GossipDelays holds the delays after which hosts learn what others have placed.
--- a/wharf-load/wharfcapacity/speed.go
+++ b/wharf-load/wharfcapacity/speed.go
@@ -34,6 +34,9 @@
 	if len(s.Speeds) > 0 {
 		e.speed = s.Speeds[position%len(s.Speeds)]
 	}
+	if s.SpeedsChangeAt > 0 {
+		s.clock.schedule(s.SpeedsChangeAt, func() { e.setSpeed(s.Speeds[(position+1)%len(s.Speeds)]) })
+	}
 	// Evenly over the endpoints, whatever their speeds.
 	if int(float64(position+1)*s.PauseShare) > int(float64(position)*s.PauseShare) {
 		s.schedulePause(e)
--- a/wharf-load/wharfcapacity/speed_test.go
+++ b/wharf-load/wharfcapacity/speed_test.go
@@ -88,3 +88,15 @@
 		assert.Assert(t, on.AnswerQuantile(0.95) < off.AnswerQuantile(0.95)*95/100)
 	})
 }
+
+// TestEndpointsThatChangeTheirSpeed guards against old paces: slow endpoints become fast, and fast ones slow, and the former
+// must be used again.
+func TestEndpointsThatChangeTheirSpeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := calmer(LargeFleet().WithAllocators().WithMixedSpeeds())
+		o.SpeedsChangeAt = 12 * time.Second
+		off, on := compareByCost(t, "speeds change", o)
+		assertNoWorse(t, off, on)
+		assert.Assert(t, on.AnswerQuantile(0.95) < off.AnswerQuantile(0.95)*95/100)
+	})
+}
