--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -49,14 +49,15 @@
 	dirty     map[string]bool   // endpoints whose load from this host changed since the last call of Changes
 	changed   func()
 	connected func(address netip.AddrPort) bool
-	admits    func(e *Endpoint, now time.Time) bool    // whether streams may begin there
-	factor    func(e *Endpoint, now time.Time) float64 // see WeighEndpoints
-	random    func() float64                           // uniform in [0, 1)
+	admits    func(e *Endpoint, now time.Time) bool // whether streams may begin there
+	random    func() float64                        // uniform in [0, 1)
 	// announcements outlive the entries, whose registrations may lapse.
 	announcements    map[incarnation]*announcement
 	lastSilenceCheck time.Time
 	position         float64 // of this host among the hosts of its zone, in [0, 1)
 	hosts            int     // number of hosts in the zone
+	// factor multiplies the weights of endpoints; see WeighEndpoints.
+	factor func(e *Endpoint, now time.Time) float64
 }
 
 // New returns an empty fleet for a host in a zone. changed is called, with the fleet's lock held, when this host's load
@@ -73,10 +74,10 @@
 		changed:       changed,
 		connected:     func(netip.AddrPort) bool { return false },
 		admits:        func(*Endpoint, time.Time) bool { return true },
-		factor:        func(*Endpoint, time.Time) float64 { return 1 },
 		random:        rand.Float64,
 		announcements: map[incarnation]*announcement{},
 		hosts:         1,
+		factor:        func(*Endpoint, time.Time) float64 { return 1 },
 	}
 }
 
--- a/wharf/state/wharffleet/weigh_test.go
+++ b/wharf/state/wharffleet/weigh_test.go
@@ -1,6 +1,7 @@
 package wharffleet
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -22,12 +23,15 @@
 	return f
 }
 
-// learnPaces has each endpoint answer five times with its time between events.
-func learnPaces(paces *wharfpace.Paces, f *Fleet, pace func(e *Endpoint) time.Duration) {
+// usualPace is the time between two events of an endpoint of the usual speed.
+const usualPace = 3 * time.Millisecond
+
+// learnPaces has each endpoint answer five times, with the usual pace unless unusual holds another.
+func learnPaces(paces *wharfpace.Paces, f *Fleet, unusual map[string]time.Duration) {
 	for range 5 {
 		for _, e := range f.entries {
 			p := Placement{Endpoint: e.Endpoint}
-			paces.Learn(p.Sample(200, 199*pace(&e.Endpoint)))
+			paces.Learn(p.Sample(200, 199*cmp.Or(unusual[e.ID], usualPace)))
 		}
 	}
 }
@@ -63,26 +67,15 @@
 		assert.DeepEqual(t, placements(t, pacedFleet(wharfpace.New("near"))), want)
 		paces := wharfpace.New("near")
 		f := pacedFleet(paces)
-		learnPaces(paces, f, func(e *Endpoint) time.Duration {
-			return map[string]time.Duration{"e0": 4400, "e1": 2100}[e.ID]*time.Microsecond + 3*time.Millisecond*boolFactor(e.ID > "e1")
-		})
+		learnPaces(paces, f, map[string]time.Duration{"e0": 4400 * time.Microsecond, "e1": 2100 * time.Microsecond})
 		assert.DeepEqual(t, placements(t, f), want)
-		learnPaces(paces, f, func(e *Endpoint) time.Duration {
-			return 3*time.Millisecond + 6*time.Millisecond*boolFactor(e.ID == "e0")
-		})
+		learnPaces(paces, f, map[string]time.Duration{"e0": 9 * time.Millisecond})
 		f = pacedFleet(paces)
 		got := placements(t, f)
 		assert.Assert(t, fmt.Sprint(got) != fmt.Sprint(want), "a third of the speed is to change placement")
 	})
 }
 
-func boolFactor(b bool) time.Duration {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // TestSlowEndpointIsUsedWhenOthersAreFull guards against slots that stay free while requests are refused or preempt batch
 // items.
 func TestSlowEndpointIsUsedWhenOthersAreFull(t *testing.T) {
@@ -90,9 +83,7 @@
 		paces := wharfpace.New("near")
 		f := newFleet("near", "near", "near")
 		f.WeighEndpoints(func(e *Endpoint, now time.Time) float64 { return paces.Factor(e.Service, e.ID, now) })
-		learnPaces(paces, f, func(e *Endpoint) time.Duration {
-			return 3*time.Millisecond + 6*time.Millisecond*boolFactor(e.ID == "e0")
-		})
+		learnPaces(paces, f, map[string]time.Duration{"e0": 9 * time.Millisecond})
 		counts := map[string]int{}
 		for range slots {
 			counts[pick(t, f, false).Endpoint.ID]++
