--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -162,6 +162,9 @@
 		"rate-shares":          h.rateShares().Used,
 		"evacuated-zones":      h.directory.View().Evacuations.Zones(),
 	}
+	if h.paces != nil {
+		vars["paces"] = h.paces.Stats()
+	}
 	if table := h.table(); table != nil {
 		vars["configuration-version"] = table.Version
 	}
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -59,6 +59,8 @@
 	hosts            int     // number of hosts in the zone
 	evacuations      *wharfevacuation.Set
 	current          func() bool // whether evacuations are those in force
+	// factor multiplies the weights of endpoints; see WeighEndpoints.
+	factor func(e *Endpoint, now time.Time) float64
 }
 
 // New returns an empty fleet for a host in a zone. changed is called, with the fleet's lock held, when this host's load
@@ -79,6 +81,7 @@
 		random:        rand.Float64,
 		announcements: map[incarnation]*announcement{},
 		hosts:         1,
+		factor:        func(*Endpoint, time.Time) float64 { return 1 },
 	}
 }
 
