Evacuation: endpoints that return with their zone are used at once

Old ejections of endpoints and old averages of the queue's waits outlived an evacuation: an ejected endpoint whose zone was evacuated got one request a second after its return, and requests that found no slot were refused at once by waits of the time with fewer endpoints. Both end with the evacuation.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -29,6 +29,7 @@
 	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
 	"wagtailwharf.example/wharf/protocol/wharfhostsettings"
 	"wagtailwharf.example/wharf/state/wharfcrash"
+	"wagtailwharf.example/wharf/state/wharfevacuation"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/transport/wharfdialer"
@@ -70,6 +71,7 @@
 	callers        *http.Server
 	connections    *wharfidle.Closer // of callers
 	membership     membership
+	evacuations    *wharfevacuation.Set // of the latest view; used by onViewChange only
 	draining       atomic.Bool
 	drainRequested chan struct{}
 	drainOnce      sync.Once
@@ -211,6 +213,10 @@
 func (h *Host) onViewChange(v *wharfdirectory.View) {
 	h.releases.Update(v.Endpoints)
 	h.fleet.SetEvacuations(v.Evacuations)
+	if v.Evacuations.Returns(h.evacuations) {
+		h.gate.ForgetIntervals()
+	}
+	h.evacuations = v.Evacuations
 	h.fleet.Update(v.Endpoints)
 	if v.Table == nil {
 		return
--- a/wharf/coordination/wharfgate/gate.go
+++ b/wharf/coordination/wharfgate/gate.go
@@ -221,3 +221,13 @@
 	q.lastStart = now
 	q.startInterval = time.Duration(intervalSmoothing*float64(q.startInterval) + (1-intervalSmoothing)*float64(elapsed))
 }
+
+// ForgetIntervals resets the expected waits of all queues, after endpoints have come back. The averages are from the time
+// without them, and only starts from the queue would correct them, which they prevent.
+func (g *Gate[E]) ForgetIntervals() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, q := range g.queues {
+		q.startInterval = initialStartInterval
+	}
+}
--- a/wharf/coordination/wharfgate/gate_test.go
+++ b/wharf/coordination/wharfgate/gate_test.go
@@ -162,3 +162,39 @@
 		assert.Equal(t, g.Waiting(), 0)
 	})
 }
+
+// TestQueueServesAtOnceAfterSlotsWereFew guards against a gate that goes on refusing requests which find no slot at once, because
+// requests could rarely start while endpoints were away.
+func TestQueueServesAtOnceAfterSlotsWereFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slotWait, hold = 66 * time.Millisecond, 10 * time.Millisecond
+		g := newGate(1)
+		ctx := context.Background()
+		for range 30 { // a request that starts after 200 ms in the queue
+			e, _, err := g.Acquire(ctx, g.request("o", time.Second))
+			assert.NilError(t, err)
+			time.AfterFunc(200*time.Millisecond, func() { g.Release(e, "s") })
+			queued, _, err := g.Acquire(ctx, g.request("o", time.Second))
+			assert.NilError(t, err)
+			g.Release(queued, "s")
+		}
+		served := func() bool {
+			e, _, err := g.Acquire(ctx, g.request("o", slotWait))
+			assert.NilError(t, err, "the slot is free")
+			time.AfterFunc(hold, func() { g.Release(e, "s") })
+			queued, _, err := g.Acquire(ctx, g.request("o", slotWait))
+			if err != nil {
+				assert.ErrorIs(t, err, ErrBusy)
+				time.Sleep(2 * hold)
+				return false
+			}
+			g.Release(queued, "s")
+			return true
+		}
+		assert.Assert(t, !served(), "requests would wait for long")
+		g.ForgetIntervals()
+		for range 5 {
+			assert.Assert(t, served())
+		}
+	})
+}
--- a/wharf/state/wharfevacuation/set.go
+++ b/wharf/state/wharfevacuation/set.go
@@ -48,6 +48,11 @@
 	return slices.Sorted(maps.Keys(s.InForce))
 }
 
+// Returns reports whether a zone that was evacuated by an earlier set is not by this one.
+func (s *Set) Returns(earlier *Set) bool {
+	return slices.ContainsFunc(earlier.Zones(), func(zone string) bool { return !s.Includes(zone) })
+}
+
 // Advance returns the set after changes of the store up to a version, in the order of their versions. Changes that are
 // older than what the set knows of their zone have no effect.
 func (s *Set) Advance(version uint64, changes []Change) *Set {
--- a/wharf/state/wharfevacuation/set_test.go
+++ b/wharf/state/wharfevacuation/set_test.go
@@ -41,6 +41,10 @@
 	assert.Equal(t, len(s.Zones()), 0)
 	assert.Equal(t, s.EndedAt("b"), uint64(12), "the row was missing in a full read")
 	assert.Equal(t, s.EndedAt("a"), uint64(6))
+	var none *Set
+	evacuated := none.Replace(1, []Change{start("a", 1)})
+	assert.Assert(t, s.Returns(evacuated) && none.Returns(evacuated))
+	assert.Assert(t, !evacuated.Returns(evacuated) && !evacuated.Returns(s) && !s.Returns(none))
 }
 
 // TestNewestSetWins guards against a peer's older set that ends an evacuation or starts one again.
--- a/wharf/state/wharffleet/evacuation.go
+++ b/wharf/state/wharffleet/evacuation.go
@@ -1,6 +1,8 @@
 package wharffleet
 
 import (
+	"time"
+
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfevacuation"
 )
@@ -11,11 +13,22 @@
 	return !e.leaves() && !f.evacuations.Includes(e.Zone)
 }
 
-// SetEvacuations replaces the evacuated zones. Their endpoints get no more requests; those that run there go on.
+// SetEvacuations replaces the evacuated zones. Their endpoints get no more requests; those that run there go on. Endpoints of
+// zones that return are readmitted if their ejection has ended: no request could show meanwhile that they work.
 func (f *Fleet) SetEvacuations(set *wharfevacuation.Set) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before, now := f.evacuations, time.Now()
 	f.evacuations = set
+	if !set.Returns(before) {
+		return
+	}
+	for _, e := range f.entries {
+		if before.Includes(e.Zone) && !set.Includes(e.Zone) && !e.ejectedUntil.After(now) {
+			e.localFaults, e.sharedFaults = 0, 0
+			e.readmit()
+		}
+	}
 }
 
 // RequireCurrent keeps requests from being sent while current reports false, which says that the evacuated zones that this
--- a/wharf/state/wharffleet/evacuation_test.go
+++ b/wharf/state/wharffleet/evacuation_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfevacuation"
+	"wagtailwharf.example/wharf/state/wharfoutcome"
 	"wagtailwharf.example/wharf/state/wharfpick"
 )
 
@@ -83,3 +86,43 @@
 	assert.Assert(t, !f.Evacuates(wharfcall.Origin{Service: "other"}))
 	assert.Assert(t, !f.Evacuates(wharfcall.Origin{Service: "s", Version: "v2"}))
 }
+
+// TestOldEjectionsEndWithTheEvacuation guards against endpoints that return with their zone and get one request a second,
+// because of faults before the evacuation that no request could refute meanwhile.
+func TestOldEjectionsEndWithTheEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("near", "far")
+		fail := func(id string) {
+			for range faultsToEject {
+				p, known := f.Adopt(id, Request{}, false)
+				assert.Assert(t, known)
+				p.Fail(wharfoutcome.ConnectionLost)
+				p.Release()
+			}
+		}
+		fail("e0")
+		fail("e1")
+		assert.Equal(t, f.FreeSlots("s"), 0)
+		f.SetEvacuations(evacuation("near"))
+		f.SetEvacuations(evacuation())
+		assert.Equal(t, f.FreeSlots("s"), 0, "the ejections have not ended")
+		f.SetEvacuations(evacuation("near"))
+		time.Sleep(maxBackoff)
+		f.SetEvacuations(evacuation())
+		for range slots {
+			_, err := f.Pick(Request{Service: "s", NearOnly: true})
+			assert.NilError(t, err)
+		}
+		f.SetEvacuations(evacuation("near"))
+		pick(t, f, false)
+		_, err := f.Pick(Request{Service: "s"})
+		assert.ErrorIs(t, err, wharfpick.ErrNoEndpoint, "one request probes the endpoint whose zone was not evacuated")
+		f.SetEvacuations(evacuation())
+		unreachable, _ := f.Adopt("e0", Request{}, false)
+		unreachable.Fail(wharfoutcome.NotSent)
+		f.SetEvacuations(evacuation("near"))
+		time.Sleep(maxBackoff)
+		f.SetEvacuations(evacuation())
+		assert.Equal(t, len(f.Unreachable()), 1, "an endpoint that can't be reached is left to the prober")
+	})
+}
