Regions: allowed_regions of routes and organisations; queue of another zone for evacuated ones

Requests, retries, continuations and batch items run only in regions that route and organisation both allow; hosts adopt a batch job, and relay its bodies, only within them or the region of the host that accepted it. A request for which no region is left is refused as not run (no-endpoint-in-region). Settings region and zones, both from the platform's.

Requests of a zone whose endpoints are excluded, by region or by an evacuation, wait in the queue of another zone: the zone's own allocator placed them by loads that it hears of seldom.

--- a/wagtailwharfd/wharfhost/cluster_test.go
+++ b/wagtailwharfd/wharfhost/cluster_test.go
@@ -39,6 +39,7 @@
 	version       uint64
 	configuration wharfstandin.Configuration
 	maxMeshPeers  int
+	setRegions    func(*wharfhostsettings.Settings) // of hosts that are started from now on; may be nil
 }
 
 // runningHost is a started daemon; done receives the result of its Run.
@@ -169,6 +170,9 @@
 	settings.FirstStart = true
 	settings.MaxMeshPeers = c.maxMeshPeers
 	settings.Stop.Limit = wharfsettings.Duration(8 * time.Second)
+	if c.setRegions != nil {
+		c.setRegions(&settings)
+	}
 	return c.run(settings)
 }
 
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -94,6 +94,7 @@
 	h.relay = wharfrelay.New(wharfrelay.Options{
 		Direct:    h.storeClient,
 		Zone:      settings.Zone,
+		Regions:   settings.Regions(),
 		Peers:     func() []wharfgossip.Peer { return h.gossip.Peers() },
 		Call:      h.relayViaPeer,
 		OnRelayed: func() { h.metrics.Count("store-calls-relayed") },
@@ -102,6 +103,7 @@
 	h.blocklist = wharfblocklist.New(h.store, h.crashes)
 	h.peerClient = wharfhostcalls.New(h.peerPool)
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.NotifyChange() })
+	h.fleet.SetRegions(settings.Regions())
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
 	h.releases = wharfreleases.New(wharfreleases.Options{Store: h.store, Host: settings.Host, Live: h.liveHosts})
 	h.fleet.RestrictNewRequests(h.releases.Admits)
@@ -136,7 +138,10 @@
 		Shares:           h.rateShares,
 		RemoteAllocators: h.gossip.FirstRemoteAllocators,
 	})
-	h.jobs = wharfjobstore.New(wharfjobstore.Options{Records: h.store, Host: settings.Host, Incarnation: h.incarnation})
+	h.jobs = wharfjobstore.New(wharfjobstore.Options{
+		Records: h.store, Host: settings.Host, Incarnation: h.incarnation,
+		Region: settings.Regions()[settings.Zone],
+	})
 	h.newTrafficServices()
 	return h
 }
@@ -153,6 +158,8 @@
 		Table:       h.table,
 		Peers:       h.gossip.Peers,
 		Allocator:   h.allocator,
+		Zone:        h.settings.Zone,
+		Regions:     h.settings.Regions(),
 		Retention:   time.Duration(h.settings.Jobs.Retention),
 	})
 	h.frontend = wharffrontend.New(wharffrontend.Options{
--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -38,14 +38,18 @@
 	Avoid        []string      // IDs of endpoints that have failed this request
 	LastAttempt  bool
 	Batch        bool
-	Reserve      int    // see wharffleet.Request
-	Version      string // see wharffleet.Request
-	Continues    bool   // the request continues a stream, and goes before those that begin one
+	Reserve      int      // see wharffleet.Request
+	Version      string   // see wharffleet.Request
+	Continues    bool     // the request continues a stream, and goes before those that begin one
+	Regions      []string // see wharffleet.Request; an empty list is sent as nil, so that no host asks with it
 	Requester    wharffleet.Requester
 	// Forwarded is set on a reservation that the requester's own zone has no slot for; it is not queued.
 	Forwarded bool
 	// MayPreempt allows a forwarded reservation to take the slot of a batch item.
 	MayPreempt bool
+	// Queue has a forwarded reservation wait for up to MaxWait in the queue of the zone, because no endpoint of the requester's
+	// own zone may run the request.
+	Queue bool
 }
 
 // Grant is an allocator's answer to a Reservation.
@@ -77,9 +81,10 @@
 	Avoid        map[string]bool // IDs of endpoints that have failed this request
 	LastAttempt  bool
 	Batch        bool
-	Reserve      int    // see wharffleet.Request
-	Version      string // see wharffleet.Request
-	Continues    bool   // the request continues a stream, and goes before those that begin one
+	Reserve      int      // see wharffleet.Request
+	Version      string   // see wharffleet.Request
+	Continues    bool     // the request continues a stream, and goes before those that begin one
+	Regions      []string // see wharffleet.Request
 }
 
 // Options holds an Allocator's dependencies.
@@ -146,6 +151,9 @@
 // wharfgate.ErrBusy or wharfpick.ErrAllFull if no slot is free in time, wharfpick.ErrNoEndpoint if there is no
 // available endpoint, or the cause for which ctx has ended.
 func (a *Allocator) Acquire(ctx context.Context, r Request) (*wharffleet.Placement, error) {
+	if r.Regions != nil && len(r.Regions) == 0 {
+		return nil, wharfpick.ErrNoEndpoint
+	}
 	start := time.Now()
 	for _, to := range a.Usable() {
 		if to.Self {
@@ -207,16 +215,16 @@
 	return Reservation{
 		Service: r.Service, Organisation: r.Organisation, Weight: r.Weight, Avoid: slices.Collect(maps.Keys(r.Avoid)),
 		LastAttempt: r.LastAttempt, Batch: r.Batch, Reserve: r.Reserve, Version: r.Version,
-		Continues: r.Continues, Requester: *requester,
+		Continues: r.Continues, Regions: r.Regions, Requester: *requester,
 	}
 }
 
 // adopt takes the granted slot.
 func (a *Allocator) adopt(ctx context.Context, grant Grant, r Request) (*wharffleet.Placement, error) {
 	placement, known := a.options.Fleet.Adopt(
-		grant.Endpoint, wharffleet.Request{Batch: r.Batch, Version: r.Version}, grant.Suspect)
+		grant.Endpoint, wharffleet.Request{Batch: r.Batch, Version: r.Version, Regions: r.Regions}, grant.Suspect)
 	if !known {
-		klog.InfoS("granted endpoint is unknown, gets no requests or is of another version", "endpoint", grant.Endpoint,
+		klog.InfoS("granted endpoint is unknown, gets no requests or is of another version or region", "endpoint", grant.Endpoint,
 			"service", r.Service, "version", r.Version)
 		return nil, errUnanswered // the next report of this host's loads corrects the allocator's
 	}
@@ -255,11 +263,14 @@
 		Service: reservation.Service, Organisation: reservation.Organisation, Weight: reservation.Weight,
 		MaxWait: reservation.MaxWait, Avoid: make(map[string]bool, len(reservation.Avoid)),
 		LastAttempt: reservation.LastAttempt, Batch: reservation.Batch, Reserve: reservation.Reserve,
-		Version: reservation.Version, Continues: reservation.Continues,
+		Version: reservation.Version, Continues: reservation.Continues, Regions: reservation.Regions,
 	}
 	for _, id := range reservation.Avoid {
 		r.Avoid[id] = true
 	}
+	if reservation.Forwarded && reservation.Queue {
+		return grantOf(a.place(ctx, r, wharffleet.Request{NearOnly: true, Requester: &reservation.Requester}))
+	}
 	if reservation.Forwarded {
 		return grantOf(a.pickAndPreempt(r, wharffleet.Request{
 			NearOnly: true, FreeOnly: !reservation.MayPreempt, Requester: &reservation.Requester,
@@ -286,11 +297,13 @@
 
 // allocate places a request of this host, or of the requester if it is not nil, as the zone's allocator: on a free slot
 // of this zone or, by its allocator, of another one; on the slot of a batch item in this zone or another one; or after a
-// wait in the queue. It returns either a placement on an endpoint of this zone or another allocator's grant.
+// wait in the queue, of another zone if no endpoint of this one may run the request. It returns either a placement on an
+// endpoint of this zone or another allocator's grant.
 func (a *Allocator) allocate(
 	ctx context.Context, r Request, requester *wharffleet.Requester,
 ) (*wharffleet.Placement, Grant, error) {
 	a.options.Count("slots-allocated")
+	start := time.Now()
 	scope := wharffleet.Request{NearOnly: true, Requester: requester}
 	first := r.Continues || a.options.Gate.Waiting() == 0
 	if first {
@@ -312,6 +325,13 @@
 		}
 	}
 	placement, err := a.place(ctx, r, scope)
+	if errors.Is(err, wharfpick.ErrNoEndpoint) && a.options.Fleet.ExcludesNear(r.Service, r.Regions) {
+		r.MaxWait = max(0, r.MaxWait-time.Since(start))
+		grant, err := a.queueElsewhere(ctx, r, requester)
+		if !errors.Is(err, errUnanswered) {
+			return nil, grant, err
+		}
+	}
 	if errors.Is(err, wharfpick.ErrNoEndpoint) {
 		scope.NearOnly = false // the service has endpoints in other zones only
 		placement, err = a.place(ctx, r, scope)
@@ -327,7 +347,7 @@
 	if requester == nil {
 		requester = a.options.Fleet.Requester(r.Service)
 	}
-	free := a.options.Fleet.FreeSlotsElsewhere(r.Service, mayPreempt)
+	free := a.options.Fleet.FreeSlotsElsewhere(r.Service, mayPreempt, r.Regions)
 	reservation := newReservation(r, requester)
 	reservation.Forwarded, reservation.MayPreempt = true, mayPreempt
 	for range maxForwards {
@@ -374,7 +394,7 @@
 // pick takes a slot at once, within the limits that scope sets.
 func (a *Allocator) pick(r Request, scope wharffleet.Request) (*wharffleet.Placement, error) {
 	scope.Service, scope.Avoid, scope.LastAttempt = r.Service, r.Avoid, r.LastAttempt
-	scope.Batch, scope.Reserve, scope.Version = r.Batch, r.Reserve, r.Version
+	scope.Batch, scope.Reserve, scope.Version, scope.Regions = r.Batch, r.Reserve, r.Version, r.Regions
 	return a.options.Fleet.Pick(scope)
 }
 
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -380,16 +380,12 @@
 }
 
 // mergeConfiguration applies the configuration and the evacuated zones of a peer's snapshot if they are newer than the local
-// ones, and reports whether the view changes. A peer of an older build does not tell the zones: its configuration is used, but
-// the store is still read from the version before, so that no change of the zones is missed. The caller holds d.mu.
+// ones, and reports whether the view changes. A peer of an older build does not tell the zones, nor what its build does not know
+// of the configuration, so that neither is used. The caller holds d.mu.
 func (d *Directory) mergeConfiguration(s Snapshot) (changed bool) {
-	switch {
-	case s.Configuration == nil || s.ConfigurationVersion < d.configurationSync.version:
+	if s.Configuration == nil || s.Evacuations == nil || !d.configurationSync.advance(s.ConfigurationVersion, s.Age) {
 		return false
-	case s.Evacuations == nil:
-		return d.activate(s.Configuration, "peer")
 	}
-	d.configurationSync.advance(s.ConfigurationVersion, s.Age)
 	changed = d.setEvacuations(d.evacuations.set.Merge(s.Evacuations), "peer", s.Age)
 	return d.activate(s.Configuration, "peer") || changed
 }
--- a/wharf/coordination/wharfjobrunner/adopt.go
+++ b/wharf/coordination/wharfjobrunner/adopt.go
@@ -56,7 +56,10 @@
 			since = now
 		}
 		seen[key] = since
-		rank := slices.Index(wharfrank.Order(key, alive), r.options.Host)
+		rank := slices.Index(wharfrank.Order(key, r.mayHold(&job, alive, peers)), r.options.Host)
+		if rank < 0 {
+			continue // this host must not have the bodies of the items
+		}
 		if now.Sub(since) < time.Duration(rank)*adoptionStagger {
 			continue
 		}
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -14,6 +14,7 @@
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfpause"
+	"wagtailwharf.example/wharf/state/wharfregion"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharfschedule"
 	"wagtailwharf.example/wharf/state/wharftask"
@@ -65,7 +66,9 @@
 	Table       func() *wharfroute.Table
 	Peers       func() []wharfgossip.Peer
 	Allocator   Allocator
-	Retention   time.Duration // how long a job can be read after its acceptance
+	Zone        string
+	Regions     wharfregion.Map // regions of the zones, for jobs that are limited to some
+	Retention   time.Duration   // how long a job can be read after its acceptance
 }
 
 // Allocator gets slots for items; see wharfallocator.Allocator.
@@ -169,7 +172,7 @@
 }
 
 func (r *Runner) loadItems(ctx context.Context, job wharfjobstore.Job, aj *activeJob) {
-	items, err := r.options.Jobs.Items(ctx, &job)
+	items, err := r.options.Jobs.Items(wharfregion.WithLimit(ctx, r.regions(&job)), &job)
 	var progress []wharftask.Progress
 	if err == nil {
 		progress, err = r.options.Jobs.Progress(ctx, &job)
--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -84,6 +84,7 @@
 func (r *Runner) acquire(ctx context.Context, s startable, origin wharfcall.Origin) (*wharffleet.Placement, error) {
 	request := wharfallocator.Request{
 		Service: origin.Service, Version: origin.Version, Batch: true, Reserve: s.candidate.ReservedSlots(),
+		Regions: r.regions(&s.item.job.job),
 	}
 	placement, err := r.options.Allocator.Acquire(ctx, request)
 	if err == nil || origin.Version == "" {
--- a/wharf/coordination/wharfjobstore/store.go
+++ b/wharf/coordination/wharfjobstore/store.go
@@ -53,6 +53,7 @@
 	Records     wharfrecords.Store
 	Host        string
 	Incarnation uint64
+	Region      string // of this host, "" if it is not known
 }
 
 // Store reads and writes batch jobs and caches them from the change feed. It is safe for concurrent use.
@@ -239,6 +240,7 @@
 		Owner:         s.options.Host,
 		Incarnation:   s.options.Incarnation,
 		TransactionID: uuid.NewString(),
+		Region:        s.options.Region,
 	}
 	for _, item := range sub.Items {
 		record.ItemTokens = append(record.ItemTokens, item.Tokens)
--- a/wharf/coordination/wharfrelay/store.go
+++ b/wharf/coordination/wharfrelay/store.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfpause"
+	"wagtailwharf.example/wharf/state/wharfregion"
 )
 
 const (
@@ -102,7 +103,9 @@
 type Options struct {
 	Direct wharfrecords.Store
 	Zone   string
-	Peers  func() []wharfgossip.Peer
+	// Regions are the regions of the zones, for calls whose context limits the regions that may hold what they carry.
+	Regions wharfregion.Map
+	Peers   func() []wharfgossip.Peer
 	// Call sends a request to another host.
 	Call func(ctx context.Context, peer wharfgossip.Peer, request Request) (Reply, error)
 	// OnRelayed, if not nil, is called after each call that another host answered.
@@ -214,7 +217,7 @@
 			return reply, err
 		}
 	}
-	peer, found := s.selectPeer()
+	peer, found := s.selectPeer(wharfregion.LimitOf(ctx))
 	if !found {
 		return execute(ctx, s.options.Direct, r)
 	}
@@ -238,11 +241,13 @@
 	return reply, reply.Failure.err()
 }
 
-// selectPeer returns a random host that reaches the store, of this zone if there is one.
-func (s *Store) selectPeer() (wharfgossip.Peer, bool) {
+// selectPeer returns a random host that reaches the store, of this zone if there is one. Regions are those of which the host
+// must be, nil for all; hosts of this host's own region hold what this host holds.
+func (s *Store) selectPeer(regions []string) (wharfgossip.Peer, bool) {
 	var sameZone, otherZones []wharfgossip.Peer
 	for _, p := range s.options.Peers() {
-		if p.Presence != wharfgossip.Alive || !p.Status.Served || p.Status.Leaving {
+		if p.Presence != wharfgossip.Alive || !p.Status.Served || p.Status.Leaving ||
+			!s.options.Regions.Allows(p.Zone, regions) && !s.options.Regions.Same(p.Zone, s.options.Zone) {
 			continue
 		}
 		if p.Zone == s.options.Zone {
--- a/wharf/coordination/wharfrelay/store_test.go
+++ b/wharf/coordination/wharfrelay/store_test.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/coordination/wharfmemorystore"
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
+	"wagtailwharf.example/wharf/state/wharfregion"
 )
 
 // faultyStore is a store whose reads and commits fail for one host while a fault is set.
@@ -153,3 +154,25 @@
 	assert.Assert(t, errors.Is(err, wharfrecords.ErrUnknown))
 	assert.Assert(t, f.store.Reachable())
 }
+
+// TestBodiesAreRelayedWithinTheirRegions guards against the body of a batch job's item that is sent to a host of another region
+// because the store does not answer this one.
+func TestBodiesAreRelayedWithinTheirRegions(t *testing.T) {
+	regions := wharfregion.Map{"zone": "a", "near": "a", "far": "b"}
+	for _, c := range []struct {
+		zone    string
+		regions []string
+		relayed bool
+	}{
+		{"far", nil, true}, {"far", []string{"a"}, false}, {"far", []string{"a", "b"}, true}, {"near", []string{"c"}, true},
+		{"unknown", []string{"a"}, false}, {"unknown", nil, true},
+	} {
+		f := newFixture(wharfmemorystore.New())
+		f.store.options.Regions = regions
+		f.peers[0].Zone = c.zone
+		f.store.setDown(true, wharfrecords.ErrUnavailable)
+		err := f.store.PutObject(wharfregion.WithLimit(t.Context(), c.regions), "body", []byte("x"))
+		assert.NilError(t, err, "without a host, the store is called directly")
+		assert.Equal(t, f.relayed > 0, c.relayed, "%+v", c)
+	}
+}
--- a/wharf/protocol/wharfhostsettings/settings.go
+++ b/wharf/protocol/wharfhostsettings/settings.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"time"
 
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/protocol/wharfsettings"
+	"wagtailwharf.example/wharf/state/wharfregion"
 )
 
 // Settings are the settings of one daemon.
@@ -26,10 +28,14 @@
 	ProcessorShare float64 `toml:"processor-share"`
 	// MaxMeshPeers is the number of other hosts up to which all hosts tell each other all changes directly. With more,
 	// two hosts of each zone allocate the slots of its endpoints.
-	MaxMeshPeers int  `toml:"max-mesh-peers"`
-	LogLevel     int  `toml:"log-level"`
-	Stop         Stop `toml:"stop"`
-	Jobs         Jobs `toml:"jobs"`
+	MaxMeshPeers int `toml:"max-mesh-peers"`
+	LogLevel     int `toml:"log-level"`
+	// Region is the host's region, and Zones maps availability zones to regions. They are of use for routes and organisations
+	// that are limited to regions.
+	Region Region `toml:"region"`
+	Zones  Zones  `toml:"zones"`
+	Stop   Stop   `toml:"stop"`
+	Jobs   Jobs   `toml:"jobs"`
 }
 
 // Stop holds the settings of a planned shutdown.
@@ -55,6 +61,16 @@
 	}
 }
 
+// Regions returns the regions of the zones, this host's own included.
+func (s *Settings) Regions() wharfregion.Map {
+	regions := wharfregion.Map{}
+	maps.Copy(regions, s.Zones)
+	if s.Region != "" {
+		regions[s.Zone] = string(s.Region)
+	}
+	return regions
+}
+
 // PeerAddress returns the address at which other hosts reach this host by RPC and by UDP.
 func (s *Settings) PeerAddress() netip.AddrPort {
 	if s.Advertised.IsValid() {
@@ -94,6 +110,8 @@
 	require(s.ProcessorShare > 0 && s.ProcessorShare <= maxProcessorShare,
 		"processor-share must be over 0 and at most %d", maxProcessorShare)
 	require(s.MaxMeshPeers >= 0, "max-mesh-peers must not be negative")
+	require(s.Region == "" || s.Zones[s.Zone] == "" || s.Zones[s.Zone] == string(s.Region),
+		"region is %q, but zones has %q for availability-zone", s.Region, s.Zones[s.Zone])
 	require(s.Stop.Limit > 0, "stop.limit must be longer than 0")
 	require(s.Jobs.Retention > 0, "jobs.keep must be longer than 0")
 	if len(problems) == 0 {
--- a/wharf/protocol/wharfhostsettings/settings_test.go
+++ b/wharf/protocol/wharfhostsettings/settings_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"wagtailwharf.example/wharf/protocol/wharfsettings"
+	"wagtailwharf.example/wharf/state/wharfregion"
 )
 
 const valid = `host = "h"
@@ -59,6 +60,28 @@
 	}
 }
 
+// TestRegionsAreReadAsRendered guards against settings that can't be read because the platform has no regions, or quotes them.
+func TestRegionsAreReadAsRendered(t *testing.T) {
+	for text, want := range map[string]wharfregion.Map{
+		"":                                      {},
+		"region = ''\nzones = ''\n":             {},
+		"region = 'null'\nzones = 'null'\n":     {},
+		"region = '\"\"'\nzones = '{}'\n":       {},
+		"region = 'r'\n":                        {"z": "r"},
+		"region = '\"r\"'\n":                    {"z": "r"},
+		"zones = '{\"a\":\"r\",\"b\":\"s\"}'\n": {"a": "r", "b": "s"},
+		"region = '\"r\"'\nzones = '{\"z\":\"r\",\"b\":\"s\"}'\n": {"z": "r", "b": "s"},
+	} {
+		s, err := Parse([]byte(text + valid))
+		assert.NilError(t, err, text)
+		assert.DeepEqual(t, s.Regions(), want)
+	}
+	for _, text := range []string{"zones = '['", "zones = '{\"z\":1}'", "region = '\"r'", "region = 'r'\nzones = '{\"z\":\"s\"}'"} {
+		_, err := Parse([]byte(text + "\n" + valid))
+		assert.Assert(t, errors.Is(err, wharfsettings.ErrInvalid), text)
+	}
+}
+
 func TestPeerAddressPrefersAdvertisedAddress(t *testing.T) {
 	s, err := Parse([]byte(valid))
 	assert.NilError(t, err)
--- a/wharf/state/wharffleet/evacuation.go
+++ b/wharf/state/wharffleet/evacuation.go
@@ -60,3 +60,30 @@
 	}
 	return false
 }
+
+// ExcludesNear reports whether endpoints of a service in this host's zone get no requests that are limited to regions, nil for
+// all, because the zone is evacuated or in another region.
+func (f *Fleet) ExcludesNear(service string, regions []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.services[service]
+	return s != nil && len(s.near) > 0 && (f.evacuations.Includes(f.zone) || !f.regions.Allows(f.zone, regions))
+}
+
+// SlotsElsewhere returns the number of slots of a service, free or not, in each other zone of the regions, nil for all, that
+// takes requests.
+func (f *Fleet) SlotsElsewhere(service string, regions []string) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slots, now := map[string]int{}, time.Now()
+	s := f.services[service]
+	if s == nil {
+		return slots
+	}
+	for _, e := range s.far {
+		if f.takesRequests(e) && f.regions.Allows(e.Zone, regions) && e.available(false, now) {
+			slots[e.Zone] += e.Slots
+		}
+	}
+	return slots
+}
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfevacuation"
+	"wagtailwharf.example/wharf/state/wharfregion"
 )
 
 const (
@@ -57,6 +58,7 @@
 	lastSilenceCheck time.Time
 	position         float64 // of this host among the hosts of its zone, in [0, 1)
 	hosts            int     // number of hosts in the zone
+	regions          wharfregion.Map
 	evacuations      *wharfevacuation.Set
 	current          func() bool // whether evacuations are those in force
 }
@@ -94,6 +96,11 @@
 	f.admits = admits
 }
 
+// SetRegions sets the regions of the zones, for requests that are limited to some. It must be called before the first Pick.
+func (f *Fleet) SetRegions(regions wharfregion.Map) {
+	f.regions = regions
+}
+
 // Update replaces the registered endpoints. Endpoints that are no longer registered get no more requests.
 func (f *Fleet) Update(endpoints []Endpoint) {
 	f.mu.Lock()
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -20,6 +20,8 @@
 	// NearOnly excludes the endpoints of other zones, and FreeOnly slots that are held by batch items.
 	NearOnly bool
 	FreeOnly bool
+	// Regions are those in which the request may run, nil for all.
+	Regions []string
 	// Requester is the host whose request it is, nil for this host.
 	Requester *Requester
 }
@@ -96,7 +98,7 @@
 		if i >= subset && sel.hasFree && float64(sel.freeSlots) >= minFreeShare*float64(sel.totalSlots) {
 			return
 		}
-		if !f.takesRequests(e) || sel.Version != "" && e.Version != sel.Version || !e.available(sel.LastAttempt, sel.now) {
+		if !f.takesRequests(e) || !f.regions.Allows(e.Zone, sel.Regions) || sel.Version != "" && e.Version != sel.Version || !e.available(sel.LastAttempt, sel.now) {
 			continue
 		}
 		if !sel.mayRunAt(f, e) {
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -63,13 +63,13 @@
 }
 
 // Adopt places a request of this host on the endpoint that another host has chosen. It reports false if this host knows
-// the endpoint as one that takes no requests, as one of another version than the request needs, or not at all.
+// the endpoint as one that takes no requests, as one of another version or region than the request needs, or not at all.
 func (f *Fleet) Adopt(id string, r Request, suspect bool) (*Placement, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[id]
-	// A host of an older build does not know that the request needs a version.
-	if e == nil || !f.takesRequests(e) || r.Version != "" && e.Version != r.Version ||
+	// A host of an older build does not know that the request needs a version, or a region.
+	if e == nil || !f.takesRequests(e) || !f.regions.Allows(e.Zone, r.Regions) || r.Version != "" && e.Version != r.Version ||
 		!r.Batch && r.Version == "" && !f.admits(&e.Endpoint, time.Now()) {
 		return nil, false
 	}
@@ -106,9 +106,9 @@
 	return loads
 }
 
-// FreeSlotsElsewhere returns the number of free slots of a service in each other zone that has any, with those of batch
-// items if they count as free.
-func (f *Fleet) FreeSlotsElsewhere(service string, countBatch bool) map[string]int {
+// FreeSlotsElsewhere returns the number of free slots of a service in each other zone of the regions, nil for all, that has
+// any, with those of batch items if they count as free.
+func (f *Fleet) FreeSlotsElsewhere(service string, countBatch bool, regions []string) map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	free := map[string]int{}
@@ -123,7 +123,7 @@
 		if !countBatch {
 			slots = e.Slots - e.online - e.batch
 		}
-		if slots > 0 && f.takesRequests(e) && e.available(false, now) && e.announcement.accepts(now) {
+		if slots > 0 && f.takesRequests(e) && f.regions.Allows(e.Zone, regions) && e.available(false, now) && e.announcement.accepts(now) {
 			free[e.Zone] += slots
 		}
 	}
--- a/wharf/state/wharfroute/table.go
+++ b/wharf/state/wharfroute/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"wagtailwharf.example/wharf/state/wharfregion"
 )
 
 // Kind is the kind of a route, which determines how its requests are answered and whether they may be retried.
@@ -41,6 +43,7 @@
 	CompletionTarget time.Duration // batch only: target from submission to the last result
 	MaxWait          time.Duration // batch only: time from submission after which an item may be given up
 	MaxWaitingTokens int64         // batch only: limit per organisation, 0 for none
+	AllowedRegions   []string      // regions in which requests may run, none for all
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -78,7 +81,17 @@
 	Burst    float64 // requests
 	Priority int     // overrides the route's if HasPriority is set
 	// HasPriority reports whether Priority is set.
-	HasPriority bool
+	HasPriority    bool
+	AllowedRegions []string // regions in which its requests may run, none for all
+}
+
+// Regions returns the regions in which requests of a route and an organisation, which may be nil, may run: those that both
+// allow. It returns nil for all regions, and an empty list if there is none.
+func Regions(r *Route, o *Organisation) []string {
+	if o == nil {
+		return wharfregion.Common(r.AllowedRegions, nil)
+	}
+	return wharfregion.Common(r.AllowedRegions, o.AllowedRegions)
 }
 
 // Limits are the limits of requests and connections of callers.
--- a/wharf/state/wharftask/task.go
+++ b/wharf/state/wharftask/task.go
@@ -36,6 +36,8 @@
 	Incarnation   uint64        `cbor:"11,keyasint"` // incarnation of the owner
 	TransactionID string        `cbor:"12,keyasint"` // ID of the transaction that wrote this version
 	HandedOver    bool          `cbor:"13,keyasint"` // a previous owner stored its items' progress when it stopped
+	// Region is that of the host that accepted the job, "" if it is not known or the row was written by an older build.
+	Region string `cbor:"14,keyasint,omitempty"`
 }
 
 // Progress is the stored progress of an unfinished item whose owner stops.
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -12,6 +12,8 @@
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/protocol/wharfdialect"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
+	"wagtailwharf.example/wharf/state/wharfregion"
+	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/transport/wharfmetrics"
 )
 
@@ -62,6 +64,7 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
+	ctx = wharfregion.WithLimit(ctx, wharfroute.Regions(q.route, q.organisation))
 	err = q.server.options.Jobs.Submit(ctx, wharfjobstore.Submission{
 		ID:               q.call.ID,
 		Organisation:     q.organisationName(),
@@ -144,6 +147,9 @@
 	if err != nil {
 		return err
 	}
+	if route := q.table.RouteByName(job.Route); route != nil {
+		ctx = wharfregion.WithLimit(ctx, wharfroute.Regions(route, q.organisation))
+	}
 	items, err := jobs.Items(ctx, &job)
 	if err != nil {
 		return q.jobRefusal(err)
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -34,7 +34,8 @@
 type online struct {
 	*request
 	service          string
-	version          string // version that the stream can continue at, "" before its first event
+	version          string   // version that the stream can continue at, "" before its first event
+	regions          []string // in which the request may run, nil for all
 	identities       wharfcrash.Request
 	trial            bool            // the request has a blocked identity, and its first attempt is the trial of it
 	status           int             // of the response forwarded to the caller
@@ -59,7 +60,10 @@
 func (q *request) forward(parent context.Context) error {
 	ctx, cancel := q.context(parent)
 	defer cancel()
-	o := &online{request: q, service: q.route.PickService(), avoid: map[string]bool{}, lastEvent: q.call.LastEvent}
+	o := &online{
+		request: q, service: q.route.PickService(), regions: wharfroute.Regions(q.route, q.organisation),
+		avoid: map[string]bool{}, lastEvent: q.call.LastEvent,
+	}
 	o.identities = wharfcrash.NewRequest(
 		q.organisationName(), q.call.Host+q.call.Target, q.call.Body, q.call.SharedParts)
 	if verdict, blocked := q.server.options.Crashes.Blocked(o.identities, time.Now()); blocked {
@@ -194,6 +198,7 @@
 		MaxWait:      wharftimeout.SlotWait(o.route, time.Since(o.call.Arrived), o.sends > 0 || o.continues()),
 		Avoid:        o.avoid,
 		LastAttempt:  !o.mayRetry(),
+		Regions:      o.regions,
 	})
 	o.queueTime += time.Since(start)
 	return placement, err
@@ -214,6 +219,9 @@
 		return o.refuseExpired(ctx)
 	case errors.Is(err, wharfpick.ErrNoEndpoint) && o.version != "":
 		return o.withRetryAfter(errVersionGone)
+	case errors.Is(err, wharfpick.ErrNoEndpoint) && o.regions != nil:
+		klog.InfoS("no endpoint in the allowed regions", o.logFields("service", o.service, "regions", o.regions)...)
+		return o.withRetryAfter(errNoRegion)
 	case errors.Is(err, wharfpick.ErrNoEndpoint):
 		return o.withRetryAfter(errNoEndpoint)
 	}
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -63,6 +63,8 @@
 		"all slots are taken; come back later")
 	errNoEndpoint = wharfrefusal.New(http.StatusServiceUnavailable, "no-endpoint",
 		"no endpoint of the service works at present")
+	errNoRegion = wharfrefusal.New(http.StatusServiceUnavailable, "no-endpoint-in-region",
+		"no endpoint works at present in a region in which the request may run")
 	errVersionUnknown = wharfrefusal.New(http.StatusServiceUnavailable, "stream-version-unknown",
 		"the version that began the stream is not known, so that it can not continue")
 	errVersionGone = wharfrefusal.New(http.StatusServiceUnavailable, "stream-version-gone",
