--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -110,21 +110,7 @@
 	h.origins = wharforigins.New(wharforigins.Options{
 		Store: h.store, Releases: h.releases, Host: settings.Host, Live: h.liveHosts, Count: h.metrics.Count,
 	})
-	h.gossip = wharfgossip.New(wharfgossip.Options{
-		Listen: settings.Peers,
-		Self: wharfgossip.Message{
-			Host: settings.Host, Zone: settings.Zone, Address: settings.PeerAddress(), Incarnation: h.incarnation,
-		},
-		Status:       h.status,
-		FillState:    h.fillMessage,
-		TakeChanges:  h.fleet.Changes,
-		OnMessage:    h.handleMessage,
-		OnPeerChange: h.onPeerChange,
-		OnRankChange: h.fleet.SetPosition,
-		ZoneLoads:    h.fleet.ZoneLoads,
-		LoadsIn:      h.fleet.LoadsIn,
-		MaxMeshPeers: settings.MaxMeshPeers,
-	})
+	h.gossip = h.newGossip()
 	h.allocator = h.newAllocator()
 	h.membership = membership{host: h, observed: map[string]rowObservation{}, started: time.Now()}
 	h.directory = wharfdirectory.New(wharfdirectory.Options{
@@ -146,6 +132,25 @@
 	return h
 }
 
+// newGossip returns the exchange of datagrams with other hosts.
+func (h *Host) newGossip() *wharfgossip.Gossip {
+	return wharfgossip.New(wharfgossip.Options{
+		Listen: h.settings.Peers,
+		Self: wharfgossip.Message{
+			Host: h.settings.Host, Zone: h.settings.Zone, Address: h.settings.PeerAddress(), Incarnation: h.incarnation,
+		},
+		Status:       h.status,
+		FillState:    h.fillMessage,
+		TakeChanges:  h.fleet.Changes,
+		OnMessage:    h.handleMessage,
+		OnPeerChange: h.onPeerChange,
+		OnRankChange: h.fleet.SetPosition,
+		ZoneLoads:    h.fleet.ZoneLoads,
+		LoadsIn:      h.fleet.LoadsIn,
+		MaxMeshPeers: h.settings.MaxMeshPeers,
+	})
+}
+
 // newTrafficServices sets up the services that handle requests and batch jobs.
 func (h *Host) newTrafficServices() {
 	forwarder := wharfforwarder.New(wharfwire.New(), h.endpointPool)
