--- a/wagtailwharfd/wharfhost/cluster_test.go
+++ b/wagtailwharfd/wharfhost/cluster_test.go
@@ -39,7 +39,8 @@
 	version       uint64
 	configuration wharfstandin.Configuration
 	maxMeshPeers  int
-	byCost        bool // for hosts that are started from now on
+	byCost        bool                              // for hosts that are started from now on
+	setRegions    func(*wharfhostsettings.Settings) // of hosts that are started from now on; may be nil
 }
 
 // runningHost is a started daemon; done receives the result of its Run.
@@ -171,6 +172,9 @@
 	settings.MaxMeshPeers = c.maxMeshPeers
 	settings.Placement.ByCost = c.byCost
 	settings.Stop.Limit = wharfsettings.Duration(8 * time.Second)
+	if c.setRegions != nil {
+		c.setRegions(&settings)
+	}
 	return c.run(settings)
 }
 
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -29,6 +29,7 @@
 	"wagtailwharf.example/wharf/protocol/wharfhostcalls"
 	"wagtailwharf.example/wharf/protocol/wharfhostsettings"
 	"wagtailwharf.example/wharf/state/wharfcrash"
+	"wagtailwharf.example/wharf/state/wharfevacuation"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfpace"
 	"wagtailwharf.example/wharf/state/wharfroute"
@@ -72,6 +73,7 @@
 	callers        *http.Server
 	connections    *wharfidle.Closer // of callers
 	membership     membership
+	evacuations    *wharfevacuation.Set // of the latest view; used by onViewChange only
 	draining       atomic.Bool
 	drainRequested chan struct{}
 	drainOnce      sync.Once
@@ -94,6 +96,7 @@
 	h.relay = wharfrelay.New(wharfrelay.Options{
 		Direct:    h.storeClient,
 		Zone:      settings.Zone,
+		Regions:   settings.Regions(),
 		Peers:     func() []wharfgossip.Peer { return h.gossip.Peers() },
 		Call:      h.relayViaPeer,
 		OnRelayed: func() { h.metrics.Count("store-calls-relayed") },
@@ -102,6 +105,7 @@
 	h.blocklist = wharfblocklist.New(h.store, h.crashes)
 	h.peerClient = wharfhostcalls.New(h.peerPool)
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.NotifyChange() })
+	h.fleet.SetRegions(settings.Regions())
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
 	h.weighByPace()
 	h.releases = wharfreleases.New(wharfreleases.Options{Store: h.store, Host: settings.Host, Live: h.liveHosts})
@@ -109,21 +113,7 @@
 	h.origins = wharforigins.New(wharforigins.Options{
 		Store: h.store, Releases: h.releases, Host: settings.Host, Live: h.liveHosts, Count: h.metrics.Count,
 	})
-	h.gossip = wharfgossip.New(wharfgossip.Options{
-		Listen: settings.Peers,
-		Self: wharfgossip.Message{
-			Host: settings.Host, Zone: settings.Zone, Address: settings.PeerAddress(), Incarnation: h.incarnation,
-		},
-		Status:       h.status,
-		FillState:    h.fillMessage,
-		TakeChanges:  h.fleet.Changes,
-		OnMessage:    h.handleMessage,
-		OnPeerChange: h.onPeerChange,
-		OnRankChange: h.fleet.SetPosition,
-		ZoneLoads:    h.fleet.ZoneLoads,
-		LoadsIn:      h.fleet.LoadsIn,
-		MaxMeshPeers: settings.MaxMeshPeers,
-	})
+	h.gossip = h.newGossip()
 	h.allocator = h.newAllocator()
 	h.membership = membership{host: h, observed: map[string]rowObservation{}, started: time.Now()}
 	h.directory = wharfdirectory.New(wharfdirectory.Options{
@@ -137,11 +127,33 @@
 		Shares:           h.rateShares,
 		RemoteAllocators: h.gossip.FirstRemoteAllocators,
 	})
-	h.jobs = wharfjobstore.New(wharfjobstore.Options{Records: h.store, Host: settings.Host, Incarnation: h.incarnation})
+	h.jobs = wharfjobstore.New(wharfjobstore.Options{
+		Records: h.store, Host: settings.Host, Incarnation: h.incarnation,
+		Region: settings.Regions()[settings.Zone],
+	})
 	h.newTrafficServices()
 	return h
 }
 
+// newGossip returns the exchange of datagrams with other hosts.
+func (h *Host) newGossip() *wharfgossip.Gossip {
+	return wharfgossip.New(wharfgossip.Options{
+		Listen: h.settings.Peers,
+		Self: wharfgossip.Message{
+			Host: h.settings.Host, Zone: h.settings.Zone, Address: h.settings.PeerAddress(), Incarnation: h.incarnation,
+		},
+		Status:       h.status,
+		FillState:    h.fillMessage,
+		TakeChanges:  h.fleet.Changes,
+		OnMessage:    h.handleMessage,
+		OnPeerChange: h.onPeerChange,
+		OnRankChange: h.fleet.SetPosition,
+		ZoneLoads:    h.fleet.ZoneLoads,
+		LoadsIn:      h.fleet.LoadsIn,
+		MaxMeshPeers: h.settings.MaxMeshPeers,
+	})
+}
+
 // newTrafficServices sets up the services that handle requests and batch jobs.
 func (h *Host) newTrafficServices() {
 	forwarder := wharfforwarder.New(wharfwire.New(), h.endpointPool)
@@ -155,6 +167,8 @@
 		Peers:       h.gossip.Peers,
 		Allocator:   h.allocator,
 		Paces:       h.paces,
+		Zone:        h.settings.Zone,
+		Regions:     h.settings.Regions(),
 		Retention:   time.Duration(h.settings.Jobs.Retention),
 	})
 	h.frontend = wharffrontend.New(wharffrontend.Options{
@@ -216,6 +230,10 @@
 func (h *Host) onViewChange(v *wharfdirectory.View) {
 	h.releases.Update(v.Endpoints)
 	h.fleet.SetEvacuations(v.Evacuations)
+	if v.Evacuations.Returns(h.evacuations) {
+		h.gate.ForgetIntervals()
+	}
+	h.evacuations = v.Evacuations
 	h.fleet.Update(v.Endpoints)
 	if v.Table == nil {
 		return
