Fleet: cold endpoints get no more than each host's share

Pick and Adopt count requests against this host's share of a cold endpoint's limit. An allocator places a request on a cold endpoint only where the requester may send, so that the sum holds whichever hosts take themselves for allocators. Endpoints that were unreachable or broke off requests count as cold until a later registration.

--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -15,8 +15,15 @@
 	Slots   int
 	Leaving bool
 	Born    time.Time // start of this incarnation; a later incarnation with the same ID has none of its requests
+	// ColdRemaining is how much longer the endpoint stays cold, as its registration said when it was written, or
+	// ColdUnknown. ColdUntil is the same as a time of this host's clock, which is never sent to other hosts.
+	ColdRemaining time.Duration
+	ColdUntil     time.Time
 }
 
+// ColdUnknown is the value of Endpoint.ColdRemaining if the registration does not tell.
+const ColdUnknown time.Duration = -1
+
 // Load is one host's load on an endpoint: its running online requests and batch items.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
@@ -82,6 +89,9 @@
 	stalled            int       // requests of all hosts that are stalled here
 	probingSince       time.Time // when a request began to probe whether the endpoint works again; zero if none does
 	backoff            time.Duration
+	doubtedAt          time.Time // when something showed that it may have become cold; zero if nothing did since its registration
+	doubt              ColdCause // what that was
+	notedCold          bool      // reported as cold
 }
 
 // leaves reports whether the endpoint's registration or a response of it says that it is leaving.
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfcold"
 )
 
 const (
@@ -56,6 +57,7 @@
 	lastSilenceCheck time.Time
 	position         float64 // of this host among the hosts of its zone, in [0, 1)
 	hosts            int     // number of hosts in the zone
+	cold             coldness
 }
 
 // New returns an empty fleet for a host in a zone. changed is called, with the fleet's lock held, when this host's load
@@ -75,6 +77,7 @@
 		random:        rand.Float64,
 		announcements: map[incarnation]*announcement{},
 		hosts:         1,
+		cold:          coldness{sender: wharfcold.New(host), report: func(ColdChange) {}},
 	}
 }
 
@@ -99,7 +102,11 @@
 	for _, e := range endpoints {
 		known := f.entries[e.ID]
 		if known == nil || known.Address != e.Address || !known.Born.Equal(e.Born) {
-			known = f.newEntry(e)
+			added := f.newEntry(e)
+			if known != nil {
+				added.doubtedAt, added.doubt, added.notedCold = known.doubtedAt, known.doubt, known.notedCold
+			}
+			known = added
 		}
 		known.Endpoint = e
 		entries[e.ID] = known
@@ -114,6 +121,7 @@
 	f.entries = entries
 	f.services = services
 	f.removeOldAnnouncements(time.Now())
+	f.noteColdness(time.Now())
 	for id, e := range f.used {
 		if entries[id] != e {
 			delete(f.used, id)
@@ -189,6 +197,7 @@
 	if change > 0 {
 		e.announcement.sent++
 		e.announcement.take(1, time.Now())
+		f.noteSent(e, time.Now())
 	}
 	if f.entries[e.ID] == e {
 		f.used[e.ID] = e
@@ -251,7 +260,7 @@
 	free := 0
 	for e := range f.services[service].all() {
 		if !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
-			free += max(0, e.Slots-e.online-e.batch)
+			free += f.sendable(e, max(0, e.Slots-e.online-e.batch), now)
 		}
 	}
 	return free
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -25,22 +25,20 @@
 }
 
 // Pick places a request. It returns wharfpick.ErrAllFull if every available endpoint is full, and
-// wharfpick.ErrNoEndpoint if none is available.
+// wharfpick.ErrNoEndpoint if none is available, and wharfpick.ErrAllCold if all available ones are cold and get no more
+// requests at present.
 func (f *Fleet) Pick(r Request) (*Placement, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.checkSilence(now)
-	best, full := f.choose(r, now)
+	best, err := f.choose(r, now)
 	if best == nil && r.LastAttempt {
 		r.LastAttempt = false // a probe of an ejected endpoint is better than no attempt
-		best, full = f.choose(r, now)
+		best, err = f.choose(r, now)
 	}
 	if best == nil {
-		if full {
-			return nil, wharfpick.ErrAllFull
-		}
-		return nil, wharfpick.ErrNoEndpoint
+		return nil, err
 	}
 	p := &Placement{
 		Endpoint: best.Endpoint, fleet: f, entry: best, batch: r.Batch, Online: best.online, Batch: best.batch,
@@ -71,21 +69,35 @@
 	freeSlots      int  // of totalSlots
 	nonOnlineSlots int  // of totalSlots, those that an online request can have
 	anyAvailable   bool // some endpoint is available and not avoided
+	anyWarm        bool // one of those is warm
+	keptFromCold   bool // some cold endpoint has a free slot, but gets no more requests at present
+	limitsCold     bool // cold endpoints of the service have a limit
 	chosen         *entry
 }
 
-// choose picks an endpoint at random by weight, and reports whether any is available.
-func (f *Fleet) choose(r Request, now time.Time) (chosen *entry, available bool) {
+// choose picks an endpoint at random by weight. If it finds none, it returns the error that tells why.
+func (f *Fleet) choose(r Request, now time.Time) (*entry, error) {
 	s := f.services[r.Service]
 	if s == nil {
-		return nil, false
+		return nil, wharfpick.ErrNoEndpoint
 	}
-	sel := selection{Request: r, now: now}
+	sel := selection{Request: r, now: now, limitsCold: f.cold.limits[r.Service] > 0}
 	f.addRing(&sel, s.near, 1)
 	if !r.NearOnly && (!sel.nearSuffices() || !sel.hasFree) {
 		f.addRing(&sel, s.far, farWeight)
 	}
-	return sel.chosen, sel.anyAvailable
+	if sel.keptFromCold {
+		f.cold.kept++
+	}
+	switch {
+	case sel.chosen != nil:
+		return sel.chosen, nil
+	case sel.keptFromCold && !sel.anyWarm:
+		return nil, wharfpick.ErrAllCold
+	case sel.anyAvailable:
+		return nil, wharfpick.ErrAllFull
+	}
+	return nil, wharfpick.ErrNoEndpoint
 }
 
 // addRing adds the endpoints of a ring to the selection, starting at this host's position: first its subset, and then
@@ -104,7 +116,9 @@
 			continue
 		}
 		sel.totalSlots += e.Slots
-		if !e.announcement.accepts(sel.now) {
+		cold := sel.limitsCold && f.isCold(e, sel.now)
+		sel.anyWarm = sel.anyWarm || !cold && !sel.avoids(e.ID)
+		if !e.announcement.accepts(sel.now) || cold && sel.keepsFrom(f, e) {
 			sel.anyAvailable = sel.anyAvailable || !sel.avoids(e.ID)
 			continue
 		}
@@ -114,10 +128,23 @@
 			continue
 		}
 		sel.anyAvailable = true
+		if cold {
+			sel.add(f, e, factor*coldWeight)
+			continue
+		}
 		sel.add(f, e, factor)
 	}
 }
 
+// keepsFrom reports whether a cold endpoint gets no more requests of the sender at present, and notes it.
+func (sel *selection) keepsFrom(f *Fleet, e *entry) bool {
+	if f.coldRoomFor(&sel.Request, e, sel.now) > 0 {
+		return false
+	}
+	sel.keptFromCold = sel.keptFromCold || e.Slots > e.online+e.batch && !sel.avoids(e.ID)
+	return true
+}
+
 // mayRunAt reports whether the request may run at the endpoint's version.
 func (sel *selection) mayRunAt(f *Fleet, e *entry) bool {
 	return sel.Batch || sel.Version != "" || f.admits(&e.Endpoint, sel.now)
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -10,7 +10,8 @@
 	Host        string
 	Position    float64  // in the rings of endpoints, see Fleet.SetPosition
 	Connected   []string // IDs of endpoints to which it has an open connection
-	Unavailable []string // IDs of endpoints that it has ejected
+	Unavailable []string // IDs of endpoints that it has ejected, or that are cold and get no more of its requests at present
+	Cold        []string // IDs of cold endpoints that it may send a request now
 }
 
 // position returns where the requester starts in the rings of endpoints.
@@ -55,11 +56,28 @@
 			r.Unavailable = append(r.Unavailable, e.ID)
 		}
 	}
+	if f.cold.limits[service] > 0 {
+		f.addCold(r, s, now)
+	}
 	return r
 }
 
+// addCold adds the cold endpoints of a service to a requester's description.
+func (f *Fleet) addCold(r *Requester, s *service, now time.Time) {
+	for e := range s.all() {
+		switch {
+		case !f.isCold(e, now):
+		case f.coldRoom(e, now) > 0:
+			r.Cold = append(r.Cold, e.ID)
+		default:
+			r.Unavailable = append(r.Unavailable, e.ID)
+		}
+	}
+}
+
 // Adopt places a request of this host on the endpoint that another host has chosen. It reports false if this host knows
-// the endpoint as leaving, as one of another version than the request needs, or not at all.
+// the endpoint as leaving, as one of another version than the request needs, as cold and without room for this host, or
+// not at all.
 func (f *Fleet) Adopt(id string, r Request, suspect bool) (*Placement, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -69,6 +87,10 @@
 		!r.Batch && r.Version == "" && !f.admits(&e.Endpoint, time.Now()) {
 		return nil, false
 	}
+	if now := time.Now(); f.isCold(e, now) && f.coldRoom(e, now) == 0 {
+		f.cold.kept++
+		return nil, false
+	}
 	p := &Placement{Endpoint: e.Endpoint, fleet: f, entry: e, batch: r.Batch, Suspect: suspect}
 	if !e.ejectedUntil.IsZero() {
 		p.probe, e.probingSince = true, time.Now()
@@ -119,7 +141,8 @@
 		if !countBatch {
 			slots = e.Slots - e.online - e.batch
 		}
-		if slots > 0 && !e.leaves() && e.available(false, now) && e.announcement.accepts(now) {
+		// Hosts of other zones hold no share of a cold endpoint.
+		if slots > 0 && !e.leaves() && e.available(false, now) && e.announcement.accepts(now) && !f.isCold(e, now) {
 			free[e.Zone] += slots
 		}
 	}
--- a/wharf/state/wharfpick/picker.go
+++ b/wharf/state/wharfpick/picker.go
@@ -25,6 +25,8 @@
 	ErrNoEndpoint = errors.New("no endpoint of the service works")
 	// ErrAllFull means that this daemon has used up its share of every usable endpoint.
 	ErrAllFull = errors.New("every endpoint of the service is full")
+	// ErrAllCold means that every usable endpoint is cold, and that this daemon may send none of them a request now.
+	ErrAllCold = errors.New("every endpoint of the service is cold and gets no more requests at present")
 )
 
 // Endpoint is the state of one endpoint in this daemon. It is safe for concurrent use.
