Directory: coldness of endpoints, decoded from the platform

cold_per_s and cold_start_s of a service and cold_remaining_ms of a registration are decoded. The directory tells which registrations were certainly written after a time: those newer than the poll before.

--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -53,6 +53,9 @@
 	FetchSnapshot func(ctx context.Context) (Snapshot, error)
 	// OnChange is called with each new view. Calls never overlap.
 	OnChange func(v *View)
+	// OnWritten is called, if it is not nil, with the registrations in each answer of the store that were certainly
+	// written after a time. It is called after OnChange, and calls of both never overlap.
+	OnWritten func(ids []string, after time.Time)
 }
 
 // Directory maintains a View of the configuration and the endpoints. It is safe for concurrent use.
@@ -64,6 +67,7 @@
 	configurationSync syncState
 	endpoints         map[string]registration
 	endpointSync      syncState
+	lastPoll          time.Time // start of the last poll for endpoints that the store answered
 }
 
 // syncState is the store version up to which a table is known, and the time at which the store confirmed it.
@@ -77,6 +81,7 @@
 type registration struct {
 	endpoint     wharffleet.Endpoint
 	missingSince time.Time // zero unless the row was found missing after an outage
+	coldUntil    time.Time // by its registration; see coldSlack
 }
 
 // New returns an empty Directory.
@@ -130,6 +135,8 @@
 		Configuration:        d.configuration,
 		ConfigurationVersion: d.configurationSync.version,
 		EndpointsVersion:     d.endpointSync.version,
+		Cold:                 d.coldRemaining(),
+		TellsCold:            true,
 		Age:                  max(time.Since(d.configurationSync.confirmedAt), time.Since(d.endpointSync.confirmedAt)),
 	}
 	for _, r := range d.endpoints {
@@ -167,9 +174,10 @@
 func (d *Directory) followEndpoints(ctx context.Context) error {
 	table := d.options.Decoder.EndpointTable()
 	return d.endpointSync.follower.Serve(ctx, func(ctx context.Context, full bool) error {
+		started := time.Now()
 		page, err := d.poll(ctx, table, full, &d.endpointSync, endpointPollWait)
 		if err == nil {
-			d.applyEndpoints(page, full)
+			d.applyEndpoints(page, full, started)
 		}
 		return err
 	})
@@ -246,16 +254,18 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.endpoints)) {
-		v.Endpoints = append(v.Endpoints, d.endpoints[id].endpoint)
+		r := d.endpoints[id]
+		v.Endpoints = append(v.Endpoints, r.viewed())
 	}
 	d.view.Store(v)
 	d.options.OnChange(v)
 }
 
-func (d *Directory) applyEndpoints(page wharfrecords.Page, full bool) {
+// applyEndpoints applies an answer of the store to a poll that started at a time.
+func (d *Directory) applyEndpoints(page wharfrecords.Page, full bool, started time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	grace := d.endpointSync.recovering()
+	grace, known := d.endpointSync.recovering(), d.endpointSync.version
 	if !d.endpointSync.advance(page.Version, 0) {
 		return
 	}
@@ -276,6 +286,7 @@
 	if changed {
 		d.publish()
 	}
+	d.confirm(page, known, started)
 }
 
 func (d *Directory) applyRow(row wharfrecords.Row, grace bool) bool {
@@ -290,14 +301,12 @@
 		}
 		return d.remove(row.Key, "unreadable")
 	}
-	known, exists := d.endpoints[e.ID]
-	if exists && known.endpoint == e {
-		if !known.missingSince.IsZero() {
-			d.endpoints[e.ID] = registration{endpoint: e}
-		}
-		return false
+	known := d.endpoints[e.ID]
+	changed := d.register(e, e.ColdRemaining)
+	d.setPresent(e.ID)
+	if registered := d.endpoints[e.ID]; known.endpoint == registered.endpoint {
+		return changed
 	}
-	d.endpoints[e.ID] = registration{endpoint: e}
 	klog.InfoS("endpoint registered", "endpoint", e.ID, "endpoint-address", e.Address.String(), "service", e.Service,
 		"endpoint-version", e.Version, "endpoint-zone", e.Zone, "leaving", e.Leaving, "row-version", row.Version)
 	return true
@@ -369,14 +378,19 @@
 		return
 	}
 	d.endpointSync.advance(s.EndpointsVersion, s.Age)
-	endpoints := make(map[string]registration, len(s.Endpoints))
+	changed, present := false, make(map[string]bool, len(s.Endpoints))
 	for _, e := range s.Endpoints {
-		endpoints[e.ID] = registration{endpoint: e}
+		present[e.ID] = true
+		changed = d.register(e, s.remaining(e.ID)) || changed
 	}
-	if maps.EqualFunc(endpoints, d.endpoints, func(a, b registration) bool { return a.endpoint == b.endpoint }) {
+	before := len(d.endpoints)
+	maps.DeleteFunc(d.endpoints, func(id string, _ registration) bool { return !present[id] })
+	if !changed && len(d.endpoints) == before {
 		return
 	}
-	d.endpoints = endpoints
-	klog.InfoS("endpoints updated from a peer", "endpoints", len(endpoints), "version", s.EndpointsVersion)
+	for id := range present {
+		d.setPresent(id)
+	}
+	klog.InfoS("endpoints updated from a peer", "endpoints", len(d.endpoints), "version", s.EndpointsVersion)
 	d.publish()
 }
--- a/wharf/coordination/wharfdirectory/directory_test.go
+++ b/wharf/coordination/wharfdirectory/directory_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -27,15 +28,26 @@
 func (decoder) EndpointTable() string                 { return "endpoints" }
 
 func (decoder) Configuration(value []byte) (wharfroute.Configuration, error) {
-	version, err := strconv.ParseUint(string(value), 10, 64)
-	return wharfroute.Configuration{Version: version}, err
+	text, limited := strings.CutSuffix(string(value), " with cold limit")
+	version, err := strconv.ParseUint(text, 10, 64)
+	c := wharfroute.Configuration{Version: version}
+	if limited {
+		c.Services = []wharfroute.Service{{ColdPerSecond: 8.3, ColdStart: 9 * time.Second}}
+	}
+	return c, err
 }
 
 func (decoder) Endpoint(row wharfrecords.Row) (wharffleet.Endpoint, error) {
 	if string(row.Value) == "unreadable" {
 		return wharffleet.Endpoint{}, errors.New("unreadable")
 	}
-	return wharffleet.Endpoint{ID: row.Key, Leaving: string(row.Value) == "leaving"}, nil
+	e := wharffleet.Endpoint{ID: row.Key, Leaving: string(row.Value) == "leaving"}
+	if remaining, cold := strings.CutPrefix(string(row.Value), "cold "); cold {
+		var err error
+		e.ColdRemaining, err = time.ParseDuration(remaining)
+		return e, err
+	}
+	return e, nil
 }
 
 type fixture struct {
@@ -43,6 +55,8 @@
 	store     *wharfmemorystore.Store
 	directory *Directory
 	peer      atomic.Pointer[Directory] // answers FetchSnapshot if not nil
+	views     atomic.Int64
+	written   atomic.Pointer[map[string]time.Time] // last argument of OnWritten by endpoint
 }
 
 // run runs a test in a synctest bubble with a directory that follows a store.
@@ -54,7 +68,8 @@
 			Store:         wharfmonotone.New(f.store),
 			Decoder:       decoder{},
 			FetchSnapshot: f.fetchSnapshot,
-			OnChange:      func(*View) {},
+			OnChange:      func(*View) { f.views.Add(1) },
+			OnWritten:     f.onWritten,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -208,7 +223,7 @@
 		syncOther := func() {
 			page, err := wharfrecords.ReadAll(t.Context(), f.store, wharfrecords.Range{Table: "endpoints"})
 			assert.NilError(t, err)
-			other.applyEndpoints(page, true)
+			other.applyEndpoints(page, true, time.Now())
 			page, err = wharfrecords.ReadAll(t.Context(), f.store, wharfrecords.Range{Table: "configuration"})
 			assert.NilError(t, err)
 			other.applyConfiguration(page, "newest")
@@ -239,7 +254,7 @@
 func TestStaleAnswersAreIgnored(t *testing.T) {
 	run(t, func(f *fixture) {
 		known := f.directory.SyncedVersion()
-		f.directory.applyEndpoints(wharfrecords.Page{Version: known - 1}, true)
+		f.directory.applyEndpoints(wharfrecords.Page{Version: known - 1}, true, time.Now())
 		assert.Equal(t, f.endpoints(), "ab")
 	})
 }
--- a/wharf/coordination/wharfdirectory/view.go
+++ b/wharf/coordination/wharfdirectory/view.go
@@ -35,4 +35,8 @@
 	EndpointsVersion     uint64
 	Age                  time.Duration      // time since the store confirmed the state
 	Admitted             []wharfcall.Origin // versions at which streams may begin
+	// Cold is how much longer each cold endpoint stays cold. A host of an older build sends none, and leaves TellsCold
+	// unset.
+	Cold      map[string]time.Duration
+	TellsCold bool
 }
--- a/wharf/state/wharfroute/table.go
+++ b/wharf/state/wharfroute/table.go
@@ -92,6 +92,9 @@
 type Service struct {
 	Name           string
 	MaxConnections int // to one endpoint from all hosts together
+	// ColdPerSecond is the number of requests per second from all hosts that a cold endpoint tolerates, 0 for no limit.
+	ColdPerSecond float64
+	ColdStart     time.Duration // how long an endpoint is cold after its start
 }
 
 // Configuration is one version of the routing configuration.
