Hosts keep to the limit of cold endpoints

The daemon passes the limits of the configuration, the listed hosts of each zone and the registrations' confirmations to the fleet. An allocator tells a requester that every endpoint is cold, so that the request is refused at once (code all-cold) with a Retry-After that is spread over the ramp-up. Logs: endpoint cold, endpoint warm again; metrics: cold-endpoints, kept-from-cold-endpoints.

--- /dev/null
+++ b/wagtailwharfd/wharfhost/cold.go
@@ -0,0 +1,48 @@
+package wharfhost
+
+import (
+	"k8s.io/klog/v2"
+
+	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfroute"
+)
+
+// limitCold applies the limits of cold endpoints in a configuration, which is nil until one is known.
+func (h *Host) limitCold(table *wharfroute.Table) {
+	if table == nil {
+		return
+	}
+	limits := map[string]float64{}
+	for _, s := range table.Services {
+		if s.ColdPerSecond > 0 {
+			limits[s.Name] = s.ColdPerSecond
+		}
+	}
+	h.limitsCold.Store(len(limits) > 0)
+	h.fleet.LimitCold(limits)
+	h.updateSenders()
+}
+
+// updateSenders tells the fleet which hosts hold shares of the limits of cold endpoints, once this host knows them all.
+func (h *Host) updateSenders() {
+	if h.limitsCold.Load() && h.membership.hostCount() > 0 {
+		h.fleet.SetSenders(h.membership.hostsByZone())
+	}
+}
+
+// onRankChange applies this host's rank among the hosts of its zone, which gossip reports when hosts may have changed.
+func (h *Host) onRankChange(rank, count int) {
+	h.fleet.SetPosition(rank, count)
+	h.updateSenders()
+}
+
+// logColdness logs that an endpoint has become cold or warm.
+func (h *Host) logColdness(c wharffleet.ColdChange) {
+	if !c.Cold {
+		klog.InfoS("endpoint warm again", "endpoint", c.Endpoint, "service", c.Service, "endpoint-zone", c.Zone)
+		return
+	}
+	h.metrics.Count("endpoints-turned-cold")
+	klog.InfoS("endpoint cold", "endpoint", c.Endpoint, "service", c.Service, "endpoint-zone", c.Zone,
+		"cause", string(c.Cause), "remaining", c.Remaining.String(), "limit", c.Limit, "share", c.Share)
+}
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -70,6 +70,7 @@
 	callers        *http.Server
 	connections    *wharfidle.Closer // of callers
 	membership     membership
+	limitsCold     atomic.Bool // a service has a limit for cold endpoints
 	draining       atomic.Bool
 	drainRequested chan struct{}
 	drainOnce      sync.Once
@@ -101,6 +102,7 @@
 	h.peerClient = wharfhostcalls.New(h.peerPool)
 	h.fleet = wharffleet.New(settings.Host, settings.Zone, func() { h.gossip.NotifyChange() })
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
+	h.fleet.ReportColdness(h.logColdness)
 	h.releases = wharfreleases.New(wharfreleases.Options{Store: h.store, Host: settings.Host, Live: h.liveHosts})
 	h.fleet.RestrictNewRequests(h.releases.Admits)
 	h.origins = wharforigins.New(wharforigins.Options{
@@ -116,7 +118,7 @@
 		TakeChanges:  h.fleet.Changes,
 		OnMessage:    h.handleMessage,
 		OnPeerChange: h.onPeerChange,
-		OnRankChange: h.fleet.SetPosition,
+		OnRankChange: h.onRankChange,
 		ZoneLoads:    h.fleet.ZoneLoads,
 		LoadsIn:      h.fleet.LoadsIn,
 		MaxMeshPeers: settings.MaxMeshPeers,
@@ -125,6 +127,7 @@
 	h.membership = membership{host: h, observed: map[string]rowObservation{}, started: time.Now()}
 	h.directory = wharfdirectory.New(wharfdirectory.Options{
 		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
+		OnWritten: h.fleet.Confirm,
 	})
 	h.limiter = wharflimiter.New(wharflimiter.Options{
 		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
@@ -207,6 +210,7 @@
 // onViewChange applies a new configuration or a new set of endpoints.
 func (h *Host) onViewChange(v *wharfdirectory.View) {
 	h.releases.Update(v.Endpoints)
+	h.limitCold(v.Table)
 	h.fleet.Update(v.Endpoints)
 	if v.Table == nil {
 		return
--- a/wagtailwharfd/wharfhost/members.go
+++ b/wagtailwharfd/wharfhost/members.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
+	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfpause"
 )
@@ -93,6 +94,7 @@
 			backoff = initialBackoff
 		}
 		m.host.limiter.SetHostCount(m.hostCount())
+		m.host.updateSenders()
 		if !wharfpause.For(ctx, wait) {
 			return ctx.Err()
 		}
@@ -201,17 +203,36 @@
 		return 0
 	}
 	count := 1
-	lostAfter := time.Duration(lostAfterIntervals * float64(refreshIntervalFor(len(m.observed)+1)))
 	for _, p := range m.host.gossip.Peers() {
-		observation, observed := m.observed[p.Host]
-		lost := observed && now.Sub(observation.since) > lostAfter && now.Sub(p.LastHeard) > lostAfter
-		if !lost {
+		if !m.lost(p, now) {
 			count++
 		}
 	}
 	return count
 }
 
+// lost reports whether a host has neither written its row nor been heard from for so long that its shares pass to
+// others. The caller holds m.mu.
+func (m *membership) lost(p wharfgossip.Peer, now time.Time) bool {
+	lostAfter := time.Duration(lostAfterIntervals * float64(refreshIntervalFor(len(m.observed)+1)))
+	observation, observed := m.observed[p.Host]
+	return observed && now.Sub(observation.since) > lostAfter && now.Sub(p.LastHeard) > lostAfter
+}
+
+// hostsByZone returns the names of the hosts that are not lost, including this one, whether they are alive or not.
+func (m *membership) hostsByZone() map[string][]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	zones := map[string][]string{m.host.settings.Zone: {m.host.settings.Host}}
+	for _, p := range m.host.gossip.Peers() {
+		if !m.lost(p, now) {
+			zones[p.Zone] = append(zones[p.Zone], p.Host)
+		}
+	}
+	return zones
+}
+
 // deleteRow deletes this host's row. Failures are logged.
 func (m *membership) deleteRow(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -161,6 +161,7 @@
 		"allocators":           h.allocatorNames(),
 		"rate-shares":          h.rateShares().Used,
 	}
+	vars["cold-endpoints"], vars["kept-from-cold-endpoints"] = h.fleet.ColdCounts()
 	if table := h.table(); table != nil {
 		vars["configuration-version"] = table.Version
 	}
--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -55,6 +55,9 @@
 	Online   int    // online requests and batch items that ran there
 	Batch    int
 	Suspect  bool
+	// AllCold tells of a refusal as Busy that every endpoint is cold and gets no more requests of the host at present.
+	// Hosts of older builds know Busy only.
+	AllCold bool
 }
 
 // Refusal is why a slot was not granted.
@@ -143,8 +146,9 @@
 }
 
 // Acquire returns a slot for a request of this host, which holds it until the placement is released. It returns
-// wharfgate.ErrBusy or wharfpick.ErrAllFull if no slot is free in time, wharfpick.ErrNoEndpoint if there is no
-// available endpoint, or the cause for which ctx has ended.
+// wharfgate.ErrBusy or wharfpick.ErrAllFull if no slot is free in time, wharfpick.ErrAllCold at once if all endpoints are
+// cold and get no more requests of this host at present, wharfpick.ErrNoEndpoint if there is no available endpoint, or
+// the cause for which ctx has ended.
 func (a *Allocator) Acquire(ctx context.Context, r Request) (*wharffleet.Placement, error) {
 	start := time.Now()
 	for _, to := range a.Usable() {
@@ -176,6 +180,9 @@
 	}
 	switch grant.Refusal {
 	case Busy:
+		if grant.AllCold {
+			return nil, wharfpick.ErrAllCold
+		}
 		return nil, wharfgate.ErrBusy
 	case NoEndpoint:
 		return nil, wharfpick.ErrNoEndpoint
@@ -216,7 +223,7 @@
 	placement, known := a.options.Fleet.Adopt(
 		grant.Endpoint, wharffleet.Request{Batch: r.Batch, Version: r.Version}, grant.Suspect)
 	if !known {
-		klog.InfoS("granted endpoint is unknown, leaving or of another version", "endpoint", grant.Endpoint,
+		klog.InfoS("granted endpoint is unknown, leaving, of another version or cold", "endpoint", grant.Endpoint,
 			"service", r.Service, "version", r.Version)
 		return nil, errUnanswered // the next report of this host's loads corrects the allocator's
 	}
@@ -277,7 +284,7 @@
 	case errors.Is(err, wharfpick.ErrNoEndpoint):
 		return Grant{Refusal: NoEndpoint}
 	case err != nil:
-		return Grant{Refusal: Busy}
+		return Grant{Refusal: Busy, AllCold: errors.Is(err, wharfpick.ErrAllCold)}
 	}
 	return Grant{
 		Endpoint: placement.Endpoint.ID, Online: placement.Online, Batch: placement.Batch, Suspect: placement.Suspect,
@@ -407,6 +414,11 @@
 	return placement, err
 }
 
+// RampUp returns the time until the first cold endpoint of a service is warm, or 0 if that is not known.
+func (a *Allocator) RampUp(service string) time.Duration {
+	return a.options.Fleet.RampUp(service)
+}
+
 // IsSuspended reports whether an allocator has not answered lately and is not asked.
 func (a *Allocator) IsSuspended(host string) bool {
 	a.mu.Lock()
--- a/wharf/state/wharffleet/cold_test.go
+++ b/wharf/state/wharffleet/cold_test.go
@@ -170,6 +170,35 @@
 	}
 }
 
+// TestAllocatorTellsWhyNoColdEndpointIsLeft guards against hosts that take a service for unavailable, or have requests
+// wait, while it is only cold.
+func TestAllocatorTellsWhyNoColdEndpointIsLeft(t *testing.T) {
+	for _, allocatorKnows := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f, allocator := newFleet("near"), New("allocator", "near", func() {})
+			limitCold(f)
+			setCold(f, endpoints("near"), time.Minute, "e0")
+			allocator.Update(endpoints("near"))
+			if allocatorKnows {
+				limitCold(allocator)
+				setCold(allocator, endpoints("near"), time.Minute, "e0")
+			}
+			for range 8 {
+				_, err := allocator.Pick(Request{Service: "s", Requester: f.Requester("s")})
+				assert.NilError(t, err)
+				allocator.ReplaceLoads("self", nil)
+				p, adopted := f.Adopt("e0", Request{Service: "s"}, false)
+				assert.Assert(t, adopted)
+				p.Release()
+			}
+			_, err := allocator.Pick(Request{Service: "s", Requester: f.Requester("s")})
+			assert.Assert(t, errors.Is(err, wharfpick.ErrAllCold), "%v", err)
+			_, adopted := f.Adopt("e0", Request{Service: "s"}, false)
+			assert.Assert(t, !adopted)
+		})
+	}
+}
+
 // TestOtherZonesAndUnlistedHostsSendNothing guards against hosts without a share.
 func TestOtherZonesAndUnlistedHostsSendNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"wagtailwharf.example/wharf/state/wharfpick"
@@ -116,7 +117,7 @@
 			continue
 		}
 		sel.totalSlots += e.Slots
-		cold := sel.limitsCold && f.isCold(e, sel.now)
+		cold := sel.isCold(f, e)
 		sel.anyWarm = sel.anyWarm || !cold && !sel.avoids(e.ID)
 		if !e.announcement.accepts(sel.now) || cold && sel.keepsFrom(f, e) {
 			sel.anyAvailable = sel.anyAvailable || !sel.avoids(e.ID)
@@ -136,6 +137,12 @@
 	}
 }
 
+// isCold reports whether an endpoint counts as cold for this host, or for the requester.
+func (sel *selection) isCold(f *Fleet, e *entry) bool {
+	return sel.limitsCold && f.isCold(e, sel.now) ||
+		sel.Requester != nil && (slices.Contains(sel.Requester.ColdFull, e.ID) || slices.Contains(sel.Requester.Cold, e.ID))
+}
+
 // keepsFrom reports whether a cold endpoint gets no more requests of the sender at present, and notes it.
 func (sel *selection) keepsFrom(f *Fleet, e *entry) bool {
 	if f.coldRoomFor(&sel.Request, e, sel.now) > 0 {
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -10,8 +10,9 @@
 	Host        string
 	Position    float64  // in the rings of endpoints, see Fleet.SetPosition
 	Connected   []string // IDs of endpoints to which it has an open connection
-	Unavailable []string // IDs of endpoints that it has ejected, or that are cold and get no more of its requests at present
+	Unavailable []string // IDs of endpoints that it has ejected
 	Cold        []string // IDs of cold endpoints that it may send a request now
+	ColdFull    []string // IDs of cold endpoints that get no more of its requests at present
 }
 
 // position returns where the requester starts in the rings of endpoints.
@@ -70,7 +71,7 @@
 		case f.coldRoom(e, now) > 0:
 			r.Cold = append(r.Cold, e.ID)
 		default:
-			r.Unavailable = append(r.Unavailable, e.ID)
+			r.ColdFull = append(r.ColdFull, e.ID)
 		}
 	}
 }
--- a/wharf/state/wharftimeout/timeout.go
+++ b/wharf/state/wharftimeout/timeout.go
@@ -75,6 +75,14 @@
 	return CapRetryAfter(minRetryAfter+rand.N(retryAfterJitter), remaining)
 }
 
+// RampUpRetryAfter returns the retry delay of a request that is refused because all endpoints are cold. It is drawn
+// evenly from the time until one of them is warm, as far as the caller can wait, since more returns at one moment than
+// the endpoints' limits allow would be refused again.
+func RampUpRetryAfter(rampUp, remaining time.Duration) time.Duration {
+	spread := max(CapRetryAfter(max(rampUp, minRetryAfter+retryAfterJitter), remaining)-minRetryAfter, 1)
+	return CapRetryAfter(minRetryAfter+rand.N(spread), remaining)
+}
+
 // CapRetryAfter limits a retry delay to a fraction of the caller's remaining time. If no time remains, it returns the
 // delay unchanged, for the next request of the caller.
 func CapRetryAfter(delay, remaining time.Duration) time.Duration {
--- a/wharf/transport/wharffrontend/online.go
+++ b/wharf/transport/wharffrontend/online.go
@@ -197,6 +197,10 @@
 		return o.withRetryAfter(errVersionGone)
 	case errors.Is(err, wharfpick.ErrNoEndpoint):
 		return o.withRetryAfter(errNoEndpoint)
+	case errors.Is(err, wharfpick.ErrAllCold):
+		o.server.options.Metrics.Count("refused-all-cold")
+		rampUp := o.server.options.Allocator.RampUp(o.service)
+		return errAllCold.WithExactRetryAfter(wharftimeout.RampUpRetryAfter(rampUp, o.remaining()))
 	}
 	return errBusy.WithExactRetryAfter(wharftimeout.RetryAfter(o.remaining()))
 }
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -61,6 +61,8 @@
 	errMalformed     = wharfrefusal.New(http.StatusBadRequest, "malformed", "the request can not be read")
 	errBusy          = wharfrefusal.New(http.StatusServiceUnavailable, "busy",
 		"all slots are taken; come back later")
+	errAllCold = wharfrefusal.New(http.StatusServiceUnavailable, "all-cold",
+		"all endpoints have just started and get few requests; come back later")
 	errNoEndpoint = wharfrefusal.New(http.StatusServiceUnavailable, "no-endpoint",
 		"no endpoint of the service works at present")
 	errVersionUnknown = wharfrefusal.New(http.StatusServiceUnavailable, "stream-version-unknown",
