--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -129,6 +129,7 @@
 		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
 		OnWritten: h.fleet.Confirm,
 	})
+	h.fleet.RequireCurrent(h.directory.Current)
 	h.limiter = wharflimiter.New(wharflimiter.Options{
 		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
 		Allocators:       h.gossip.Allocators,
@@ -160,6 +161,8 @@
 		Table:            h.table,
 		ConfigurationAge: h.directory.Age,
 		EndpointsAge:     h.directory.EndpointsAge,
+		AwaitCurrent:     h.directory.AwaitCurrent,
+		Evacuates:        h.fleet.Evacuates,
 		Limiter:          h.limiter,
 		Gate:             h.gate,
 		Allocator:        h.allocator,
@@ -211,6 +214,7 @@
 func (h *Host) onViewChange(v *wharfdirectory.View) {
 	h.releases.Update(v.Endpoints)
 	h.limitCold(v.Table)
+	h.fleet.SetEvacuations(v.Evacuations)
 	h.fleet.Update(v.Endpoints)
 	if v.Table == nil {
 		return
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -160,6 +160,7 @@
 		"configuration-age-ms": h.directory.Age().Milliseconds(),
 		"allocators":           h.allocatorNames(),
 		"rate-shares":          h.rateShares().Used,
+		"evacuated-zones":      h.directory.View().Evacuations.Zones(),
 	}
 	vars["cold-endpoints"], vars["kept-from-cold-endpoints"] = h.fleet.ColdCounts()
 	if table := h.table(); table != nil {
--- a/wharf/coordination/wharfdirectory/directory_test.go
+++ b/wharf/coordination/wharfdirectory/directory_test.go
@@ -27,6 +27,10 @@
 func (decoder) ConfigurationKey() (table, key string) { return "configuration", "newest" }
 func (decoder) EndpointTable() string                 { return "endpoints" }
 
+func (decoder) EvacuatedZone(key string) (zone string, found bool) {
+	return strings.CutPrefix(key, "empty:")
+}
+
 func (decoder) Configuration(value []byte) (wharfroute.Configuration, error) {
 	text, limited := strings.CutSuffix(string(value), " with cold limit")
 	version, err := strconv.ParseUint(text, 10, 64)
@@ -41,7 +45,7 @@
 	if string(row.Value) == "unreadable" {
 		return wharffleet.Endpoint{}, errors.New("unreadable")
 	}
-	e := wharffleet.Endpoint{ID: row.Key, Leaving: string(row.Value) == "leaving"}
+	e := wharffleet.Endpoint{ID: row.Key, Zone: "zone", Leaving: string(row.Value) == "leaving"}
 	if remaining, cold := strings.CutPrefix(string(row.Value), "cold "); cold {
 		var err error
 		e.ColdRemaining, err = time.ParseDuration(remaining)
@@ -226,7 +230,7 @@
 			other.applyEndpoints(page, true, time.Now())
 			page, err = wharfrecords.ReadAll(t.Context(), f.store, wharfrecords.Range{Table: "configuration"})
 			assert.NilError(t, err)
-			other.applyConfiguration(page, "newest")
+			other.applyConfiguration(page, "newest", true)
 		}
 		syncOther()
 		f.peer.Store(other)
--- a/wharf/state/wharffleet/requester.go
+++ b/wharf/state/wharffleet/requester.go
@@ -10,7 +10,7 @@
 	Host        string
 	Position    float64  // in the rings of endpoints, see Fleet.SetPosition
 	Connected   []string // IDs of endpoints to which it has an open connection
-	Unavailable []string // IDs of endpoints that it has ejected
+	Unavailable []string // IDs of endpoints that it has ejected, or of a zone that it knows to be evacuated
 	Cold        []string // IDs of cold endpoints that it may send a request now
 	ColdFull    []string // IDs of cold endpoints that get no more of its requests at present
 }
@@ -50,6 +50,10 @@
 		if i >= subset {
 			break
 		}
+		if f.evacuations.Includes(e.Zone) {
+			r.Unavailable = append(r.Unavailable, e.ID) // an allocator of an older build does not know of evacuations
+			continue
+		}
 		if f.connected(e.Address) {
 			r.Connected = append(r.Connected, e.ID)
 		}
@@ -77,14 +81,14 @@
 }
 
 // Adopt places a request of this host on the endpoint that another host has chosen. It reports false if this host knows
-// the endpoint as leaving, as one of another version than the request needs, as cold and without room for this host, or
-// not at all.
+// the endpoint as one that takes no requests, as one of another version than the request needs, as cold and without room
+// for this host, or not at all.
 func (f *Fleet) Adopt(id string, r Request, suspect bool) (*Placement, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[id]
 	// A host of an older build does not know that the request needs a version.
-	if e == nil || e.leaves() || r.Version != "" && e.Version != r.Version ||
+	if e == nil || !f.takesRequests(e) || r.Version != "" && e.Version != r.Version ||
 		!r.Batch && r.Version == "" && !f.admits(&e.Endpoint, time.Now()) {
 		return nil, false
 	}
@@ -143,7 +147,7 @@
 			slots = e.Slots - e.online - e.batch
 		}
 		// Hosts of other zones hold no share of a cold endpoint.
-		if slots > 0 && !e.leaves() && e.available(false, now) && e.announcement.accepts(now) && !f.isCold(e, now) {
+		if slots > 0 && f.takesRequests(e) && e.available(false, now) && e.announcement.accepts(now) && !f.isCold(e, now) {
 			free[e.Zone] += slots
 		}
 	}
