Endpoints of a zone are cold after its evacuation

An endpoint counts as cold from the end of its zone's evacuation until its row has a newer store version.

--- a/wagtailwharfd/wharfhost/cold_test.go
+++ b/wagtailwharfd/wharfhost/cold_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"wagtailwharf.example/platform/wharfstandin"
+	"wagtailwharf.example/wharf/coordination/wharfgossip"
 )
 
 const (
@@ -27,6 +28,19 @@
 	time.Sleep(1500 * time.Millisecond) // until changes of registrations are known
 }
 
+// awaitWarm waits until no host takes an endpoint for cold.
+func (c *cluster) awaitWarm() {
+	c.t.Helper()
+	c.await("the endpoints are warm again", func() bool {
+		cold := 0
+		for _, h := range c.hosts {
+			count, _ := h.fleet.ColdCounts()
+			cold += count
+		}
+		return cold == 0
+	})
+}
+
 // sendFor sends requests to the hosts in turn for a time, and returns how many were answered.
 func (c *cluster) sendFor(hosts []*runningHost, prefix string, duration, pause time.Duration) int {
 	var calls sync.WaitGroup
@@ -90,14 +104,7 @@
 			c := start(t, 5, 3)
 			crashing := c.endpoints[:2]
 			c.startCold(crashing, 2*time.Second)
-			c.await("the endpoints are warm again", func() bool {
-				cold := 0
-				for _, h := range c.hosts {
-					count, _ := h.fleet.ColdCounts()
-					cold += count
-				}
-				return cold == 0
-			})
+			c.awaitWarm()
 			time.AfterFunc(time.Second, func() {
 				for _, e := range crashing {
 					e.Crash()
@@ -138,3 +145,32 @@
 		})
 	}
 }
+
+// TestZoneReturnsColdFromAnEvacuation ends the evacuation of a zone whose endpoints have become cold meanwhile, while their
+// registrations still call them warm. It guards against full traffic to them before a registration tells otherwise.
+func TestZoneReturnsColdFromAnEvacuation(t *testing.T) {
+	for name, maxMeshPeers := range map[string]int{"small": wharfgossip.DefaultMaxMeshPeers, "large": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newZones(t, maxMeshPeers)
+			returning := c.endpoints[:2]
+			c.startCold(returning, 2*time.Second)
+			c.awaitWarm()
+			assert.NilError(t, c.store.StartEvacuation("zone"))
+			c.awaitEvacuated(true, c.hosts...)
+			time.AfterFunc(time.Second, func() {
+				for _, e := range returning {
+					e.TurnCold()
+				}
+				assert.Check(t, c.store.EndEvacuation("zone") == nil)
+			})
+			answered := c.sendFor(c.hosts, "z", 4*time.Second, 5*time.Millisecond)
+			t.Logf("answered: %d", answered)
+			for _, e := range returning {
+				assert.Check(t, e.MostColdArrivals() > 0, "%s got no request while it was cold", e.ID)
+			}
+			c.assertWithinColdLimit(returning)
+			c.awaitWarm()
+		})
+	}
+}
--- a/wharf/coordination/wharfdirectory/cold.go
+++ b/wharf/coordination/wharfdirectory/cold.go
@@ -52,18 +52,17 @@
 	return until.Add(coldSlack)
 }
 
-// register records an endpoint and reports whether the view changes. Coldness is part of the view only where it has an
-// effect. The caller holds d.mu.
-func (d *Directory) register(e wharffleet.Endpoint, remaining time.Duration) (changed bool) {
-	e.ColdRemaining, e.ColdUntil = 0, time.Time{}
+// register records an endpoint of which a host was told, with the version of its row or 0 if that is not known, and
+// reports whether the view changes. The caller holds d.mu.
+func (d *Directory) register(e wharffleet.Endpoint, remaining time.Duration, version uint64) (changed bool) {
+	e.ColdRemaining = 0
 	known, exists := d.endpoints[e.ID]
-	r := registration{endpoint: e, coldUntil: d.coldUntil(e, remaining, known)}
-	sameEndpoint := exists && known.endpoint == e
-	if sameEndpoint {
-		r.missingSince = known.missingSince
+	r := registration{endpoint: e, coldUntil: d.coldUntil(e, remaining, known), version: version}
+	if known.endpoint == e {
+		r.missingSince, r.version = known.missingSince, max(known.version, version)
 	}
 	d.endpoints[e.ID] = r
-	return !sameEndpoint || r.coldUntil != known.coldUntil && d.coldService(e.Service) != nil
+	return !exists || d.viewed(known) != d.viewed(r)
 }
 
 // setPresent records that an endpoint is registered. The caller holds d.mu.
@@ -73,23 +72,27 @@
 	d.endpoints[id] = r
 }
 
-// viewed returns the endpoint of a registration for the view.
-func (r *registration) viewed() wharffleet.Endpoint {
+// viewed returns the endpoint of a registration for the view. Coldness is part of the view only where it has an effect. The
+// caller holds d.mu.
+func (d *Directory) viewed(r registration) wharffleet.Endpoint {
 	e := r.endpoint
-	e.ColdUntil = r.coldUntil
+	if d.coldService(e.Service) != nil {
+		e.ColdUntil = r.coldUntil
+		e.Unsettled = r.version <= d.evacuations.set.EndedAt(e.Zone) && d.evacuations.set.EndedAt(e.Zone) > 0
+	}
 	return e
 }
 
-// coldRemaining returns the remaining times of the cold endpoints for a peer. Clocks differ, so that no time of day is
-// sent. The caller holds d.mu.
-func (d *Directory) coldRemaining() map[string]time.Duration {
-	remaining := map[string]time.Duration{}
+// addColdness adds the remaining times of the cold endpoints, and the versions of all registrations, to a snapshot for a
+// peer. Clocks differ, so that no time of day is sent. The caller holds d.mu.
+func (d *Directory) addColdness(s *Snapshot) {
+	s.TellsCold, s.Cold, s.Written = true, map[string]time.Duration{}, map[string]uint64{}
 	for id, r := range d.endpoints {
+		s.Written[id] = r.version
 		if left := time.Until(r.coldUntil); left > 0 {
-			remaining[id] = left
+			s.Cold[id] = left
 		}
 	}
-	return remaining
 }
 
 // remaining returns how much longer an endpoint of a peer's snapshot stays cold.
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -85,6 +85,7 @@
 	endpoint     wharffleet.Endpoint
 	missingSince time.Time // zero unless the row was found missing after an outage
 	coldUntil    time.Time // by its registration; see coldSlack
+	version      uint64    // of the row, 0 if it is not known
 }
 
 // New returns an empty Directory.
@@ -141,11 +142,10 @@
 		Configuration:        d.configuration,
 		ConfigurationVersion: d.configurationSync.version,
 		EndpointsVersion:     d.endpointSync.version,
-		Cold:                 d.coldRemaining(),
-		TellsCold:            true,
 		Age:                  max(time.Since(d.configurationSync.confirmedAt), time.Since(d.endpointSync.confirmedAt)),
 		Evacuations:          d.evacuations.set,
 	}
+	d.addColdness(&s)
 	for _, r := range d.endpoints {
 		s.Endpoints = append(s.Endpoints, r.endpoint)
 	}
@@ -274,8 +274,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.endpoints)) {
-		r := d.endpoints[id]
-		v.Endpoints = append(v.Endpoints, r.viewed())
+		v.Endpoints = append(v.Endpoints, d.viewed(d.endpoints[id]))
 	}
 	d.view.Store(v)
 	d.options.OnChange(v)
@@ -323,7 +322,7 @@
 		return d.remove(row.Key, "unreadable")
 	}
 	known := d.endpoints[e.ID]
-	changed := d.register(e, e.ColdRemaining)
+	changed := d.register(e, e.ColdRemaining, row.Version)
 	d.setPresent(e.ID)
 	if registered := d.endpoints[e.ID]; known.endpoint == registered.endpoint {
 		return changed
@@ -417,7 +416,7 @@
 	changed, present := false, make(map[string]bool, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		present[e.ID] = true
-		changed = d.register(e, s.remaining(e.ID)) || changed
+		changed = d.register(e, s.remaining(e.ID), s.Written[e.ID]) || changed
 	}
 	before := len(d.endpoints)
 	maps.DeleteFunc(d.endpoints, func(id string, _ registration) bool { return !present[id] })
--- a/wharf/coordination/wharfdirectory/view.go
+++ b/wharf/coordination/wharfdirectory/view.go
@@ -44,6 +44,8 @@
 	// unset.
 	Cold      map[string]time.Duration
 	TellsCold bool
+	// Written is the store version of each endpoint's row.
+	Written map[string]uint64
 	// Evacuations is the set of evacuated zones at ConfigurationVersion. It is nil in the snapshot of a host that does not
 	// know it, and of a host of an older build.
 	Evacuations *wharfevacuation.Set
--- a/wharf/state/wharffleet/cold.go
+++ b/wharf/state/wharffleet/cold.go
@@ -78,18 +78,6 @@
 	f.noteColdness(time.Now())
 }
 
-// DoubtZone makes the endpoints of a zone count as cold until registrations that are written later settle it.
-func (f *Fleet) DoubtZone(zone string, cause ColdCause) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	for _, e := range f.entries {
-		if e.Zone == zone {
-			f.setDoubt(e, cause, now)
-		}
-	}
-}
-
 // setDoubt makes an endpoint count as cold until a registration that is written later settles it.
 func (f *Fleet) setDoubt(e *entry, cause ColdCause, now time.Time) {
 	if current := f.entries[e.ID]; current != nil {
@@ -111,7 +99,7 @@
 
 // isCold reports whether an endpoint counts as cold. The caller holds the lock.
 func (f *Fleet) isCold(e *entry, now time.Time) bool {
-	return f.cold.limits[e.Service] > 0 && (!e.doubtedAt.IsZero() || now.Before(e.ColdUntil))
+	return f.cold.limits[e.Service] > 0 && (!e.doubtedAt.IsZero() || e.Unsettled || now.Before(e.ColdUntil))
 }
 
 // coldRoom returns the number of requests that this host may send to a cold endpoint now.
@@ -167,8 +155,11 @@
 		Endpoint: e.ID, Service: e.Service, Zone: e.Zone, Cold: cold, Cause: ColdRegistered,
 		Remaining: max(0, e.ColdUntil.Sub(now)), Limit: f.cold.limits[e.Service],
 	}
-	if !e.doubtedAt.IsZero() {
+	switch {
+	case !e.doubtedAt.IsZero():
 		change.Cause = e.doubt
+	case e.Unsettled:
+		change.Cause = ColdEvacuated
 	}
 	if cold {
 		change.Share = f.cold.sender.Share(f.coldEndpoint(e), now)
--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -19,6 +19,9 @@
 	// ColdUnknown. ColdUntil is the same as a time of this host's clock, which is never sent to other hosts.
 	ColdRemaining time.Duration
 	ColdUntil     time.Time
+	// Unsettled reports whether the evacuation of its zone has ended since its registration was written, so that it may have
+	// become cold.
+	Unsettled bool
 }
 
 // ColdUnknown is the value of Endpoint.ColdRemaining if the registration does not tell.
