Soak: cold endpoints on request; mutants of the limit

A host cut off from the store keeps the list of hosts whose shares count. A stream that continues waits for a cold endpoint rather than being cut.

Twelve mutants, each refuted: no shares, sends not counted, a window that a fast clock shortens, no wait after a start, shares that grow at once, a bound for one list, grants not checked, limit ignored, doubts ignored, evacuation ignored, registrations from before, a view for each row.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -253,5 +253,25 @@
 mutant items-unchecked wharf/transport/wharffrontend/jobs.go 's/range items \{\n\t\tif err := items\[i\]/range items[:0] {\n\t\tif err := items[i]/' $host TestItemCannotHold
 mutant requests-unchecked wharf/transport/wharfhttpconn/conn.go 's/wharfcall\.ValidTarget\(r\.Target\)/wharfcall.ValidTarget("\/")/' \
 	./wharf/transport/wharfhttpconn FuzzSend
+sender=wharf/state/wharfcold/sender.go
+cold=./wharf/state/wharfcold
+mutant cold-limit-of-each-host $sender 's/share = Share\(/share = Total(e.PerSecond) + 0*Share(/' $cold TestSumOverAllHosts
+mutant cold-sends-not-counted $sender 's/-len\(s\.recent\(e\.ID, now\)\)//' $cold TestSharesAreUsedWhole
+mutant cold-second-by-a-fast-clock $sender 's/1050 \* time/900 * time/' $cold TestSumOverAllHosts
+mutant cold-started-hosts-send $sender 's/ \|\| now\.Before\(s\.readyAt\)//' $cold TestSumOverAllHosts
+mutant cold-shares-grow-at-once $sender 's/settleTime = 10 \* time\.Second/settleTime = time.Duration(0)/' $cold TestLargerShareWaits
+mutant cold-bound-for-one-list $sender 's/maxViews = 2/maxViews = 1/' $cold TestTwoTotals
+mutant cold-grants-unchecked wharf/state/wharffleet/requester.go \
+	's/f\.coldRoom\(e, now\) == 0 \{/false {/' $fleet TestGrantsOfAnyAllocators
+mutant cold-limit-ignored wharf/state/wharffleet/pick.go \
+	's/ \|\| cold && sel\.keepsFrom\(f, e\)//' $host 'TestColdEndpointsGet|TestRestartedHostsKeep'
+mutant cold-doubts-ignored wharf/state/wharffleet/cold.go \
+	's/!e\.doubtedAt\.IsZero\(\) \|\| e\.Unsettled/e.Unsettled/' $fleet TestDoubtedEndpoint
+mutant cold-after-evacuation-ignored wharf/coordination/wharfdirectory/cold.go \
+	's/e\.Unsettled = .*/e.Unsettled = false/' $host TestZoneReturnsCold
+mutant cold-word-from-before wharf/coordination/wharfdirectory/cold.go \
+	's/d\.options\.OnWritten\(ids, d\.lastPoll\)/d.options.OnWritten(ids, time.Now())/' ./wharf/coordination/wharfdirectory TestWrittenRegistrations
+mutant cold-view-for-each-row wharf/coordination/wharfdirectory/cold.go \
+	's/sameIncarnation && !until\.After\(before\.coldUntil\)/false/' ./wharf/coordination/wharfdirectory TestRewrittenRegistrations
 
 exit $failed
--- a/wagtailwharfd/wharfhost/cold.go
+++ b/wagtailwharfd/wharfhost/cold.go
@@ -1,6 +1,8 @@
 package wharfhost
 
 import (
+	"time"
+
 	"k8s.io/klog/v2"
 
 	"wagtailwharf.example/wharf/state/wharffleet"
@@ -26,7 +28,7 @@
 // updateSenders tells the fleet which hosts hold shares of the limits of cold endpoints, once this host knows them all.
 func (h *Host) updateSenders() {
 	if h.limitsCold.Load() && h.membership.hostCount() > 0 {
-		h.fleet.SetSenders(h.membership.hostsByZone())
+		h.fleet.SetSenders(h.membership.hostsByZone(time.Now()))
 	}
 }
 
@@ -36,13 +38,18 @@
 	h.updateSenders()
 }
 
-// logColdness logs that an endpoint has become cold or warm.
+// logColdness logs that an endpoint has become cold or warm. Only hosts of its zone send to a cold endpoint, and log it by
+// default: a zone that returns cold would otherwise take a line of each host for each endpoint.
 func (h *Host) logColdness(c wharffleet.ColdChange) {
+	verbosity := klog.Level(0)
+	if c.Zone != h.settings.Zone && c.Share == 0 {
+		verbosity = 1
+	}
 	if !c.Cold {
-		klog.InfoS("endpoint warm again", "endpoint", c.Endpoint, "service", c.Service, "endpoint-zone", c.Zone)
+		klog.V(verbosity).InfoS("endpoint warm again", "endpoint", c.Endpoint, "service", c.Service, "endpoint-zone", c.Zone)
 		return
 	}
 	h.metrics.Count("endpoints-turned-cold")
-	klog.InfoS("endpoint cold", "endpoint", c.Endpoint, "service", c.Service, "endpoint-zone", c.Zone,
+	klog.V(verbosity).InfoS("endpoint cold", "endpoint", c.Endpoint, "service", c.Service, "endpoint-zone", c.Zone,
 		"cause", string(c.Cause), "remaining", c.Remaining.String(), "limit", c.Limit, "share", c.Share)
 }
--- a/wagtailwharfd/wharfhost/cold_test.go
+++ b/wagtailwharfd/wharfhost/cold_test.go
@@ -174,3 +174,21 @@
 		})
 	}
 }
+
+// TestOnlyReadRowsTellOfLostHosts guards against hosts that are cut off from the store, take all others for lost and use
+// their shares.
+func TestOnlyReadRowsTellOfLostHosts(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	m := &c.hosts[0].membership
+	c.await("the rows are read", func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.observed) == 1
+	})
+	later := time.Now().Add(time.Minute)
+	assert.Equal(t, len(m.hostsByZone(later)["zone"]), 2)
+	m.mu.Lock()
+	m.readAt = later
+	m.mu.Unlock()
+	assert.Equal(t, len(m.hostsByZone(later)["zone"]), 1)
+}
--- a/wagtailwharfd/wharfhost/members.go
+++ b/wagtailwharfd/wharfhost/members.go
@@ -58,8 +58,9 @@
 	host     *Host
 	mu       sync.Mutex
 	observed map[string]rowObservation
-	listed   bool // this host's row has been written at least once
-	settled  bool // all rows have been read after that write
+	listed   bool      // this host's row has been written at least once
+	settled  bool      // all rows have been read after that write
+	readAt   time.Time // when the rows were last read
 	started  time.Time
 	writes   uint64
 }
@@ -187,7 +188,7 @@
 			klog.InfoS("host row removed", "peer", name, "version", page.Version)
 		}
 	}
-	m.observed = seen
+	m.observed, m.readAt = seen, now
 	m.settled = m.listed
 }
 
@@ -219,14 +220,15 @@
 	return observed && now.Sub(observation.since) > lostAfter && now.Sub(p.LastHeard) > lostAfter
 }
 
-// hostsByZone returns the names of the hosts that are not lost, including this one, whether they are alive or not.
-func (m *membership) hostsByZone() map[string][]string {
+// hostsByZone returns the names of the hosts that are not lost, including this one, whether they are alive or not. Rows
+// that this host can't read tell of no loss: hosts that are cut off from the store keep the list that they had.
+func (m *membership) hostsByZone(now time.Time) map[string][]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	current := now.Sub(m.readAt) < 2*refreshIntervalFor(len(m.observed)+1)
 	zones := map[string][]string{m.host.settings.Zone: {m.host.settings.Host}}
 	for _, p := range m.host.gossip.Peers() {
-		if !m.lost(p, now) {
+		if !current || !m.lost(p, now) {
 			zones[p.Zone] = append(zones[p.Zone], p.Host)
 		}
 	}
--- a/wharf-load/main.go
+++ b/wharf-load/main.go
@@ -83,6 +83,7 @@
 		},
 		&cli.IntFlag{Name: "endpoints", Value: 6, Usage: "endpoints per run"},
 		&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones"},
+		&cli.BoolFlag{Name: "cold", Usage: "endpoints are cold after a start and after an evacuation"},
 		&cli.DurationFlag{Name: "length", Value: 12 * time.Second, Usage: "period during which faults start"},
 		&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for settings and logs, which are kept for seeds that fail"},
 	}
@@ -104,7 +105,7 @@
 		Soak: wharfsoak.Options{
 			BinDir: bin, WorkDir: dir, Hosts: c.Int("hosts"), Endpoints: c.Int("endpoints"),
 			MaxMeshPeers: c.Int("max-mesh-peers"), Evacuations: c.Bool("evacuations"),
-			Duration: c.Duration("length"),
+			Cold: c.Bool("cold"), Duration: c.Duration("length"),
 		},
 		FirstSeed:   c.Uint64("first"),
 		Seeds:       c.Int("seeds"),
--- a/wharf-load/wharfsoak/check.go
+++ b/wharf-load/wharfsoak/check.go
@@ -76,6 +76,7 @@
 	t.checkRateLimit(runs)
 	t.checkCrashingPrompts(runs)
 	t.checkEvacuations()
+	t.checkColdEndpoints()
 	t.checkServedShare(recoveredAt)
 }
 
--- a/wharf-load/wharfsoak/evacuation_faults.go
+++ b/wharf-load/wharfsoak/evacuation_faults.go
@@ -81,6 +81,7 @@
 		return
 	}
 	spans[len(spans)-1].to = time.Now()
+	s.turnCold(zone)
 	if err := s.store.EndEvacuation(zone); err != nil {
 		s.findings.add("could not end the evacuation of %s: %v", zone, err)
 	}
--- a/wharf-load/wharfsoak/soak.go
+++ b/wharf-load/wharfsoak/soak.go
@@ -41,6 +41,8 @@
 	MaxMeshPeers int
 	// Evacuations adds evacuations of zones to the faults of the seed.
 	Evacuations bool
+	// Cold makes endpoints cold after each start and after each evacuation of their zone.
+	Cold bool
 }
 
 // Result summarizes a run.
@@ -78,6 +80,7 @@
 	events := scheduleFaults(rng, s)
 	s.injectFaults(ctx, events)
 	s.clearFaults(ctx)
+	s.awaitWarm(ctx)
 	s.awaitRecovery(ctx)
 	recoveredAt := time.Now()
 	wharfpause.For(ctx, recoveredTrafficTime)
--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -66,6 +66,7 @@
 	storeFaults   faultSpans // faults that affect all hosts' access to the store
 	findings      findings
 	evacuations   evacuations
+	turnedCold    faultSpans // when endpoints turned cold without a start, with the time that hosts need to know it
 
 	mu            sync.Mutex
 	crashing      []*request // requests with crashingPart
@@ -117,6 +118,9 @@
 			{Name: "passing", Keys: []string{revocableKey}, Rate: 10000, Burst: 10000},
 		},
 	}
+	if options.Cold {
+		s.configuration.ColdPerSecond, s.configuration.ColdStart = coldPerSecond, maxCold
+	}
 	if err := s.store.PutConfiguration(s.configuration); err != nil {
 		return nil, err
 	}
@@ -156,7 +160,7 @@
 	defer e.mu.Unlock()
 	id := fmt.Sprintf("e%d-%d", index, len(e.instances)+1)
 	version := versions[(index+len(e.instances))%len(versions)]
-	instance, err := wharfstandin.StartEndpointOfVersion(s.store, id, service, zoneOf(index), version, slots)
+	instance, err := wharfstandin.StartColdEndpoint(s.store, id, service, zoneOf(index), version, slots, s.coldStart())
 	if err != nil {
 		return err
 	}
--- a/wharf/coordination/wharfdirectory/cold_test.go
+++ b/wharf/coordination/wharfdirectory/cold_test.go
@@ -130,6 +130,12 @@
 			_, other := (*f.written.Load())["b"]
 			assert.Assert(t, !other)
 		}
+		polled, wrote := time.Now(), time.Now().Add(-time.Second)
+		f.directory.applyEndpoints(wharfrecords.Page{Version: 1 << 39}, false, wrote)
+		f.directory.applyEndpoints(wharfrecords.Page{
+			Version: 1<<39 + 1, Rows: []wharfrecords.Row{{Key: "a", Version: 1<<39 + 1, Value: []byte("ready")}},
+		}, false, polled)
+		assert.Equal(t, (*f.written.Load())["a"], wrote, "it may have been written since the poll before began")
 		f.directory.applyEndpoints(wharfrecords.Page{
 			Version: 1 << 40, Rows: []wharfrecords.Row{{Key: "b", Version: 1, Value: []byte("ready")}},
 		}, true, time.Now())
--- a/wharf/state/wharfcold/sender_test.go
+++ b/wharf/state/wharfcold/sender_test.go
@@ -112,9 +112,11 @@
 				at += settleTime
 			}
 			for _, p := range players {
-				for p.sender.Room(e, p.now(at)) > 0 {
-					p.sender.Sent(e.ID, p.now(at))
-					sent = append(sent, at)
+				for range allowed + 1 { // enough to exceed what is allowed
+					if p.sender.Room(e, p.now(at)) > 0 {
+						p.sender.Sent(e.ID, p.now(at))
+						sent = append(sent, at)
+					}
 				}
 			}
 			for i := range sent {
@@ -139,8 +141,11 @@
 			s := New(name)
 			s.SetHosts(map[string][]string{"z": hosts}, start)
 			assert.Equal(t, s.Room(e, start.Add(window-1)), 0, "a host that has just started waits")
-			for ; s.Room(e, start.Add(window)) > 0; sent++ {
-				s.Sent(e.ID, start.Add(window))
+			for range 100 {
+				if s.Room(e, start.Add(window)) > 0 {
+					s.Sent(e.ID, start.Add(window))
+					sent++
+				}
 			}
 			if s.Share(e, start.Add(window)) > 0 {
 				assert.Equal(t, s.Room(e, start.Add(2*window-1)), 0)
--- a/wharf/state/wharffleet/cold_test.go
+++ b/wharf/state/wharffleet/cold_test.go
@@ -65,6 +65,11 @@
 		count, err := burst(f, "e0")
 		assert.Equal(t, count, 8)
 		assert.Assert(t, errors.Is(err, wharfpick.ErrAllCold), "%v", err)
+		list := endpoints("near")
+		list[0].Version = "v1"
+		setCold(f, list, time.Minute, "e0")
+		_, err = f.Pick(Request{Service: "s", Version: "v1"})
+		assert.Assert(t, errors.Is(err, wharfpick.ErrAllFull), "a stream that continues waits: %v", err)
 		time.Sleep(time.Second - time.Millisecond)
 		count, _ = burst(f, "e0")
 		assert.Equal(t, count, 0)
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -93,7 +93,7 @@
 	switch {
 	case sel.chosen != nil:
 		return sel.chosen, nil
-	case sel.keptFromCold && !sel.anyWarm:
+	case sel.keptFromCold && !sel.anyWarm && sel.Version == "": // a stream that continues waits rather than being cut
 		return nil, wharfpick.ErrAllCold
 	case sel.anyAvailable:
 		return nil, wharfpick.ErrAllFull
