--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -125,11 +125,7 @@
 	})
 	h.allocator = h.newAllocator()
 	h.membership = membership{host: h, observed: map[string]rowObservation{}, started: time.Now()}
-	h.directory = wharfdirectory.New(wharfdirectory.Options{
-		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
-		OnWritten: h.fleet.Confirm,
-	})
-	h.fleet.RequireCurrent(h.directory.Current)
+	h.newDirectory()
 	h.limiter = wharflimiter.New(wharflimiter.Options{
 		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
 		Allocators:       h.gossip.Allocators,
@@ -142,6 +138,15 @@
 	return h
 }
 
+// newDirectory sets up the directory, which tells the fleet of the endpoints.
+func (h *Host) newDirectory() {
+	h.directory = wharfdirectory.New(wharfdirectory.Options{
+		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
+		OnWritten: h.fleet.Confirm,
+	})
+	h.fleet.RequireCurrent(h.directory.Current)
+}
+
 // newTrafficServices sets up the services that handle requests and batch jobs.
 func (h *Host) newTrafficServices() {
 	forwarder := wharfforwarder.New(wharfwire.New(), h.endpointPool)
--- a/wharf/state/wharfcold/sender_test.go
+++ b/wharf/state/wharfcold/sender_test.go
@@ -50,7 +50,7 @@
 	assert.Equal(t, Total(8.3), 8)
 }
 
-// player is a host of TestSumOverAllHostsStaysWithinTheBound.
+// player is a host of a play.
 type player struct {
 	name   string
 	offset time.Duration
@@ -64,65 +64,88 @@
 	return time.Unix(1e9, 0).Add(p.offset + time.Duration(p.rate*float64(at)))
 }
 
-// TestSumOverAllHostsStaysWithinTheBound plays hosts that send to a cold endpoint whenever their share allows it, while
-// they learn late of another list of hosts, start again, and have clocks that differ by their time and by a hundredth
-// of their rate. It guards against a sum over all hosts above the total or, with two lists in use, above the bound.
-func TestSumOverAllHostsStaysWithinTheBound(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		e := Endpoint{ID: "e", Zone: rapid.SampledFrom([]string{"z", "without hosts"}).Draw(t, "zone"),
-			PerSecond: rapid.Float64Range(0.2, 40).Draw(t, "per second")}
-		older, newer := names(t, "older"), names(t, "newer")
-		if rapid.Bool().Draw(t, "one list") {
-			newer = older
-		}
-		allowed := Total(e.PerSecond)
-		if !slices.Equal(older, newer) {
-			allowed *= maxViews
-		}
-		setHosts := func(p *player, at time.Duration) {
-			hosts := newer
-			if p.stale {
-				hosts = older
-			}
-			p.sender.SetHosts(map[string][]string{"z": hosts}, p.now(at))
+// play is a number of hosts that send to a cold endpoint whenever their share allows it.
+type play struct {
+	endpoint     Endpoint
+	older, newer []string // lists of hosts
+	players      []*player
+	at           time.Duration // real time since the start
+	sent         []time.Duration
+	allowed      int
+}
+
+func newPlay(t *rapid.T) *play {
+	y := &play{endpoint: Endpoint{
+		ID: "e", Zone: rapid.SampledFrom([]string{"z", "without hosts"}).Draw(t, "zone"),
+		PerSecond: rapid.Float64Range(0.2, 40).Draw(t, "per second"),
+	}}
+	y.older, y.newer = names(t, "older"), names(t, "newer")
+	y.allowed = maxViews * Total(y.endpoint.PerSecond)
+	if rapid.Bool().Draw(t, "one list") {
+		y.newer, y.allowed = y.older, Total(y.endpoint.PerSecond)
+	}
+	for _, name := range slices.Compact(slices.Sorted(slices.Values(slices.Concat(y.older, y.newer)))) {
+		p := &player{
+			name: name, sender: New(name), stale: rapid.Bool().Draw(t, "stale"),
+			offset: time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "offset")),
+			rate:   rapid.Float64Range(0.99, 1.01).Draw(t, "rate"),
 		}
-		var players []*player
-		for _, name := range slices.Compact(slices.Sorted(slices.Values(slices.Concat(older, newer)))) {
-			p := &player{
-				name: name, sender: New(name), stale: rapid.Bool().Draw(t, "stale"),
-				offset: time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "offset")),
-				rate:   rapid.Float64Range(0.99, 1.01).Draw(t, "rate"),
+		y.setHosts(p)
+		y.players = append(y.players, p)
+	}
+	return y
+}
+
+func (y *play) setHosts(p *player) {
+	hosts := y.newer
+	if p.stale {
+		hosts = y.older
+	}
+	p.sender.SetHosts(map[string][]string{"z": hosts}, p.now(y.at))
+}
+
+// step lets some time pass, in which a host may start again or learn of the newer list.
+func (y *play) step(t *rapid.T) {
+	y.at += time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "pause"))
+	p := rapid.SampledFrom(y.players).Draw(t, "host")
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	case 0:
+		p.sender = New(p.name)
+		y.setHosts(p)
+	case 1:
+		p.stale = false
+		y.setHosts(p)
+	case 2:
+		y.at += settleTime
+	}
+}
+
+// send has each host send what it may, up to more than all of them together are allowed.
+func (y *play) send() {
+	for _, p := range y.players {
+		for range y.allowed + 1 {
+			if p.sender.Room(y.endpoint, p.now(y.at)) > 0 {
+				p.sender.Sent(y.endpoint.ID, p.now(y.at))
+				y.sent = append(y.sent, y.at)
 			}
-			setHosts(p, 0)
-			players = append(players, p)
 		}
-		var sent []time.Duration
-		at := time.Duration(0)
+	}
+	for len(y.sent) > 0 && y.at-y.sent[0] >= time.Second {
+		y.sent = y.sent[1:]
+	}
+}
+
+// TestSumOverAllHostsStaysWithinTheBound plays hosts that learn late of another list of hosts, start again, and have clocks
+// that differ by their time and by a hundredth of their rate. It guards against a sum over all hosts above the total or,
+// with two lists in use, above the bound.
+func TestSumOverAllHostsStaysWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		y := newPlay(t)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			at += time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "pause"))
-			p := rapid.SampledFrom(players).Draw(t, "host")
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
-			case 0:
-				p.sender = New(p.name)
-				setHosts(p, at)
-			case 1:
-				p.stale = false
-				setHosts(p, at)
-			case 2:
-				at += settleTime
-			}
-			for _, p := range players {
-				for range allowed + 1 { // enough to exceed what is allowed
-					if p.sender.Room(e, p.now(at)) > 0 {
-						p.sender.Sent(e.ID, p.now(at))
-						sent = append(sent, at)
-					}
-				}
-			}
-			for i := range sent {
-				if n := len(sent) - i; sent[len(sent)-1]-sent[i] < time.Second && n > allowed {
-					t.Fatalf("%d requests within a second, %d are allowed", n, allowed)
-				}
+			y.step(t)
+			y.send()
+			if len(y.sent) > y.allowed {
+				t.Fatalf("%d requests within a second, %d are allowed", len(y.sent), y.allowed)
 			}
 		}
 	})
--- a/wharf/state/wharffleet/cold.go
+++ b/wharf/state/wharffleet/cold.go
@@ -123,6 +123,14 @@
 	return 0
 }
 
+// coldFactor returns the weight factor of an endpoint that is cold or not.
+func coldFactor(cold bool) float64 {
+	if cold {
+		return coldWeight
+	}
+	return 1
+}
+
 // sendable returns how many of an endpoint's slots this host may use now.
 func (f *Fleet) sendable(e *entry, slots int, now time.Time) int {
 	if f.isCold(e, now) {
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -109,7 +109,7 @@
 		if i >= subset && sel.hasFree && float64(sel.freeSlots) >= minFreeShare*float64(sel.totalSlots) {
 			return
 		}
-		if !f.takesRequests(e) || sel.Version != "" && e.Version != sel.Version || !e.available(sel.LastAttempt, sel.now) {
+		if !sel.mayUse(f, e) {
 			continue
 		}
 		if !sel.mayRunAt(f, e) {
@@ -129,14 +129,15 @@
 			continue
 		}
 		sel.anyAvailable = true
-		if cold {
-			sel.add(f, e, factor*coldWeight)
-			continue
-		}
-		sel.add(f, e, factor)
+		sel.add(f, e, factor*coldFactor(cold))
 	}
 }
 
+// mayUse reports whether an endpoint takes requests, has the request's version and is available.
+func (sel *selection) mayUse(f *Fleet, e *entry) bool {
+	return f.takesRequests(e) && (sel.Version == "" || e.Version == sel.Version) && e.available(sel.LastAttempt, sel.now)
+}
+
 // isCold reports whether an endpoint counts as cold for this host, or for the requester.
 func (sel *selection) isCold(f *Fleet, e *entry) bool {
 	return sel.limitsCold && f.isCold(e, sel.now) ||
--- a/wharf/state/wharftimeout/timeout_test.go
+++ b/wharf/state/wharftimeout/timeout_test.go
@@ -64,3 +64,29 @@
 	assert.Equal(t, CapRetryAfter(time.Second, time.Minute), time.Second)
 	assert.Assert(t, CapRetryAfter(time.Second, 500*time.Millisecond) < 200*time.Millisecond)
 }
+
+// TestRampUpRetryAfterSpreadsReturns guards against callers that all come back at one moment, or later than they can wait.
+func TestRampUpRetryAfterSpreadsReturns(t *testing.T) {
+	for _, c := range []struct {
+		rampUp, remaining, least, most time.Duration
+	}{
+		{4 * time.Second, 30 * time.Second, minRetryAfter, 4 * time.Second},
+		{4 * time.Second, 5 * time.Second, minRetryAfter, 1500 * time.Millisecond},
+		{0, 30 * time.Second, minRetryAfter, minRetryAfter + retryAfterJitter},
+		{4 * time.Second, 500 * time.Millisecond, 150 * time.Millisecond, 150 * time.Millisecond},
+	} {
+		early, late := 0, 0
+		for range 400 {
+			delay := RampUpRetryAfter(c.rampUp, c.remaining)
+			assert.Assert(t, delay >= c.least && delay <= c.most, "%v of %v and %v", delay, c.rampUp, c.remaining)
+			if delay < (c.least+c.most)/2 {
+				early++
+			} else {
+				late++
+			}
+		}
+		if c.most > c.least {
+			assert.Assert(t, early > 100 && late > 100, "%d early, %d late", early, late)
+		}
+	}
+}
