--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -74,6 +74,7 @@
 	connections    *wharfidle.Closer // of callers
 	membership     membership
 	evacuations    *wharfevacuation.Set // of the latest view; used by onViewChange only
+	limitsCold     atomic.Bool          // a service has a limit for cold endpoints
 	draining       atomic.Bool
 	drainRequested chan struct{}
 	drainOnce      sync.Once
@@ -108,6 +109,7 @@
 	h.fleet.SetRegions(settings.Regions())
 	h.fleet.PreferConnected(h.endpointPool.HasIdle)
 	h.weighByPace()
+	h.fleet.ReportColdness(h.logColdness)
 	h.releases = wharfreleases.New(wharfreleases.Options{Store: h.store, Host: settings.Host, Live: h.liveHosts})
 	h.fleet.RestrictNewRequests(h.releases.Admits)
 	h.origins = wharforigins.New(wharforigins.Options{
@@ -116,10 +118,7 @@
 	h.gossip = h.newGossip()
 	h.allocator = h.newAllocator()
 	h.membership = membership{host: h, observed: map[string]rowObservation{}, started: time.Now()}
-	h.directory = wharfdirectory.New(wharfdirectory.Options{
-		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
-	})
-	h.fleet.RequireCurrent(h.directory.Current)
+	h.newDirectory()
 	h.limiter = wharflimiter.New(wharflimiter.Options{
 		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
 		Allocators:       h.gossip.Allocators,
@@ -147,13 +146,22 @@
 		TakeChanges:  h.fleet.Changes,
 		OnMessage:    h.handleMessage,
 		OnPeerChange: h.onPeerChange,
-		OnRankChange: h.fleet.SetPosition,
+		OnRankChange: h.onRankChange,
 		ZoneLoads:    h.fleet.ZoneLoads,
 		LoadsIn:      h.fleet.LoadsIn,
 		MaxMeshPeers: h.settings.MaxMeshPeers,
 	})
 }
 
+// newDirectory sets up the directory, which tells the fleet of the endpoints.
+func (h *Host) newDirectory() {
+	h.directory = wharfdirectory.New(wharfdirectory.Options{
+		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
+		OnWritten: h.fleet.Confirm,
+	})
+	h.fleet.RequireCurrent(h.directory.Current)
+}
+
 // newTrafficServices sets up the services that handle requests and batch jobs.
 func (h *Host) newTrafficServices() {
 	forwarder := wharfforwarder.New(wharfwire.New(), h.endpointPool)
@@ -229,6 +237,7 @@
 // onViewChange applies a new configuration or a new set of endpoints.
 func (h *Host) onViewChange(v *wharfdirectory.View) {
 	h.releases.Update(v.Endpoints)
+	h.limitCold(v.Table)
 	h.fleet.SetEvacuations(v.Evacuations)
 	if v.Evacuations.Returns(h.evacuations) {
 		h.gate.ForgetIntervals()
--- a/wagtailwharfd/wharfhost/members.go
+++ b/wagtailwharfd/wharfhost/members.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
+	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfpause"
 )
@@ -57,8 +58,9 @@
 	host     *Host
 	mu       sync.Mutex
 	observed map[string]rowObservation
-	listed   bool // this host's row has been written at least once
-	settled  bool // all rows have been read after that write
+	listed   bool      // this host's row has been written at least once
+	settled  bool      // all rows have been read after that write
+	readAt   time.Time // when the rows were last read
 	started  time.Time
 	writes   uint64
 }
@@ -93,6 +95,7 @@
 			backoff = initialBackoff
 		}
 		m.host.limiter.SetHostCount(m.hostCount())
+		m.host.updateSenders()
 		if !wharfpause.For(ctx, wait) {
 			return ctx.Err()
 		}
@@ -185,7 +188,7 @@
 			klog.InfoS("host row removed", "peer", name, "version", page.Version)
 		}
 	}
-	m.observed = seen
+	m.observed, m.readAt = seen, now
 	m.settled = m.listed
 }
 
@@ -201,17 +204,37 @@
 		return 0
 	}
 	count := 1
-	lostAfter := time.Duration(lostAfterIntervals * float64(refreshIntervalFor(len(m.observed)+1)))
 	for _, p := range m.host.gossip.Peers() {
-		observation, observed := m.observed[p.Host]
-		lost := observed && now.Sub(observation.since) > lostAfter && now.Sub(p.LastHeard) > lostAfter
-		if !lost {
+		if !m.lost(p, now) {
 			count++
 		}
 	}
 	return count
 }
 
+// lost reports whether a host has neither written its row nor been heard from for so long that its shares pass to
+// others. The caller holds m.mu.
+func (m *membership) lost(p wharfgossip.Peer, now time.Time) bool {
+	lostAfter := time.Duration(lostAfterIntervals * float64(refreshIntervalFor(len(m.observed)+1)))
+	observation, observed := m.observed[p.Host]
+	return observed && now.Sub(observation.since) > lostAfter && now.Sub(p.LastHeard) > lostAfter
+}
+
+// hostsByZone returns the names of the hosts that are not lost, including this one, whether they are alive or not. Rows
+// that this host can't read tell of no loss: hosts that are cut off from the store keep the list that they had.
+func (m *membership) hostsByZone(now time.Time) map[string][]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current := now.Sub(m.readAt) < 2*refreshIntervalFor(len(m.observed)+1)
+	zones := map[string][]string{m.host.settings.Zone: {m.host.settings.Host}}
+	for _, p := range m.host.gossip.Peers() {
+		if !current || !m.lost(p, now) {
+			zones[p.Zone] = append(zones[p.Zone], p.Host)
+		}
+	}
+	return zones
+}
+
 // deleteRow deletes this host's row. Failures are logged.
 func (m *membership) deleteRow(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -165,6 +165,7 @@
 	if h.paces != nil {
 		vars["paces"] = h.paces.Stats()
 	}
+	vars["cold-endpoints"], vars["kept-from-cold-endpoints"] = h.fleet.ColdCounts()
 	if table := h.table(); table != nil {
 		vars["configuration-version"] = table.Version
 	}
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -53,6 +53,9 @@
 	FetchSnapshot func(ctx context.Context) (Snapshot, error)
 	// OnChange is called with each new view. Calls never overlap.
 	OnChange func(v *View)
+	// OnWritten is called, if it is not nil, with the registrations in each answer of the store that were certainly
+	// written after a time. It is called after OnChange, and calls of both never overlap.
+	OnWritten func(ids []string, after time.Time)
 }
 
 // Directory maintains a View of the configuration and the endpoints. It is safe for concurrent use.
@@ -64,6 +67,7 @@
 	configurationSync syncState
 	endpoints         map[string]registration
 	endpointSync      syncState
+	lastPoll          time.Time                 // start of the last poll for endpoints that the store answered
 	evacuations       evacuationState           // known up to configurationSync.version
 	polledAt          atomic.Pointer[time.Time] // end of the last poll for configuration changes; nil before the first
 	polled            chan struct{}             // closed at the end of the next one
@@ -80,6 +84,8 @@
 type registration struct {
 	endpoint     wharffleet.Endpoint
 	missingSince time.Time // zero unless the row was found missing after an outage
+	coldUntil    time.Time // by its registration; see coldSlack
+	version      uint64    // of the row, 0 if it is not known
 }
 
 // New returns an empty Directory.
@@ -139,6 +145,7 @@
 		Age:                  max(time.Since(d.configurationSync.confirmedAt), time.Since(d.endpointSync.confirmedAt)),
 		Evacuations:          d.evacuations.set,
 	}
+	d.addColdness(&s)
 	for _, r := range d.endpoints {
 		s.Endpoints = append(s.Endpoints, r.endpoint)
 	}
@@ -176,9 +183,10 @@
 func (d *Directory) followEndpoints(ctx context.Context) error {
 	table := d.options.Decoder.EndpointTable()
 	return d.endpointSync.follower.Serve(ctx, func(ctx context.Context, full bool) error {
+		started := time.Now()
 		page, err := d.poll(ctx, table, full, &d.endpointSync, endpointPollWait)
 		if err == nil {
-			d.applyEndpoints(page, full)
+			d.applyEndpoints(page, full, started)
 		}
 		return err
 	})
@@ -266,16 +274,17 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.endpoints)) {
-		v.Endpoints = append(v.Endpoints, d.endpoints[id].endpoint)
+		v.Endpoints = append(v.Endpoints, d.viewed(d.endpoints[id]))
 	}
 	d.view.Store(v)
 	d.options.OnChange(v)
 }
 
-func (d *Directory) applyEndpoints(page wharfrecords.Page, full bool) {
+// applyEndpoints applies an answer of the store to a poll that started at a time.
+func (d *Directory) applyEndpoints(page wharfrecords.Page, full bool, started time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	grace := d.endpointSync.recovering()
+	grace, known := d.endpointSync.recovering(), d.endpointSync.version
 	if !d.endpointSync.advance(page.Version, 0) {
 		return
 	}
@@ -297,6 +306,7 @@
 	if changed {
 		d.publish()
 	}
+	d.confirm(page, known, started)
 }
 
 func (d *Directory) applyRow(row wharfrecords.Row, grace bool) bool {
@@ -311,14 +321,12 @@
 		}
 		return d.remove(row.Key, "unreadable")
 	}
-	known, exists := d.endpoints[e.ID]
-	if exists && known.endpoint == e {
-		if !known.missingSince.IsZero() {
-			d.endpoints[e.ID] = registration{endpoint: e}
-		}
-		return false
+	known := d.endpoints[e.ID]
+	changed := d.register(e, e.ColdRemaining, row.Version)
+	d.setPresent(e.ID)
+	if registered := d.endpoints[e.ID]; known.endpoint == registered.endpoint {
+		return changed
 	}
-	d.endpoints[e.ID] = registration{endpoint: e}
 	klog.InfoS("endpoint registered", "endpoint", e.ID, "endpoint-address", e.Address.String(), "service", e.Service,
 		"endpoint-version", e.Version, "endpoint-zone", e.Zone, "leaving", e.Leaving, "row-version", row.Version)
 	return true
@@ -401,14 +409,19 @@
 		return
 	}
 	d.endpointSync.advance(s.EndpointsVersion, s.Age)
-	endpoints := make(map[string]registration, len(s.Endpoints))
+	changed, present := false, make(map[string]bool, len(s.Endpoints))
 	for _, e := range s.Endpoints {
-		endpoints[e.ID] = registration{endpoint: e}
+		present[e.ID] = true
+		changed = d.register(e, s.remaining(e.ID), s.Written[e.ID]) || changed
 	}
-	if maps.EqualFunc(endpoints, d.endpoints, func(a, b registration) bool { return a.endpoint == b.endpoint }) {
+	before := len(d.endpoints)
+	maps.DeleteFunc(d.endpoints, func(id string, _ registration) bool { return !present[id] })
+	if !changed && len(d.endpoints) == before {
 		return
 	}
-	d.endpoints = endpoints
-	klog.InfoS("endpoints updated from a peer", "endpoints", len(endpoints), "version", s.EndpointsVersion)
+	for id := range present {
+		d.setPresent(id)
+	}
+	klog.InfoS("endpoints updated from a peer", "endpoints", len(d.endpoints), "version", s.EndpointsVersion)
 	d.publish()
 }
--- a/wharf/coordination/wharfdirectory/evacuation_test.go
+++ b/wharf/coordination/wharfdirectory/evacuation_test.go
@@ -116,7 +116,7 @@
 func (f *fixture) syncOther(other *Directory) {
 	page, err := wharfrecords.ReadAll(f.t.Context(), f.store, wharfrecords.Range{Table: "endpoints"})
 	assert.NilError(f.t, err)
-	other.applyEndpoints(page, true)
+	other.applyEndpoints(page, true, time.Now())
 	page, err = wharfrecords.ReadAll(f.t.Context(), f.store, wharfrecords.Range{Table: "configuration"})
 	assert.NilError(f.t, err)
 	other.applyConfiguration(page, "newest", true)
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfcold"
 	"wagtailwharf.example/wharf/state/wharfevacuation"
 	"wagtailwharf.example/wharf/state/wharfregion"
 )
@@ -59,6 +60,7 @@
 	position         float64 // of this host among the hosts of its zone, in [0, 1)
 	hosts            int     // number of hosts in the zone
 	regions          wharfregion.Map
+	cold             coldness
 	evacuations      *wharfevacuation.Set
 	current          func() bool // whether evacuations are those in force
 	// factor multiplies the weights of endpoints; see WeighEndpoints.
@@ -84,6 +86,7 @@
 		announcements: map[incarnation]*announcement{},
 		hosts:         1,
 		factor:        func(*Endpoint, time.Time) float64 { return 1 },
+		cold:          coldness{sender: wharfcold.New(host), report: func(ColdChange) {}},
 	}
 }
 
@@ -113,7 +116,11 @@
 	for _, e := range endpoints {
 		known := f.entries[e.ID]
 		if known == nil || known.Address != e.Address || !known.Born.Equal(e.Born) {
-			known = f.newEntry(e)
+			added := f.newEntry(e)
+			if known != nil {
+				added.doubtedAt, added.doubt, added.notedCold = known.doubtedAt, known.doubt, known.notedCold
+			}
+			known = added
 		}
 		known.Endpoint = e
 		entries[e.ID] = known
@@ -128,6 +135,7 @@
 	f.entries = entries
 	f.services = services
 	f.removeOldAnnouncements(time.Now())
+	f.noteColdness(time.Now())
 	for id, e := range f.used {
 		if entries[id] != e {
 			delete(f.used, id)
@@ -203,6 +211,7 @@
 	if change > 0 {
 		e.announcement.sent++
 		e.announcement.take(1, time.Now())
+		f.noteSent(e, time.Now())
 	}
 	if f.entries[e.ID] == e {
 		f.used[e.ID] = e
@@ -265,7 +274,7 @@
 	free := 0
 	for e := range f.services[service].all() {
 		if f.takesRequests(e) && e.available(false, now) && e.announcement.accepts(now) {
-			free += max(0, e.Slots-e.online-e.batch)
+			free += f.sendable(e, max(0, e.Slots-e.online-e.batch), now)
 		}
 	}
 	return free
