--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -202,7 +202,6 @@
 		"internal_ports.0": json.Number(port(x.peers)), "internal_ports.1": json.Number(port(x.metrics)),
 		"platform.address": x.deployment.address, "first_start": first, "limits.memory_mb": 314,
 		"limits.cpu_share": 0.8, "bounds.grace_s": 8, "bounds.status_s": 120,
-		"region": "region", "zones": map[string]string{x.zone: "region"},
 	})
 	if err != nil {
 		return err
--- a/wagtailwharfd/main.go
+++ b/wagtailwharfd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -53,7 +54,7 @@
 			Name:      "routes",
 			Usage:     "serve callers of routes, with configuration, endpoints and batch jobs in the platform's store",
 			UsageText: "wagtailwharfd routes --settings host.toml\n   wagtailwharfd routes --settings host.toml --check",
-			Flags:     []cli.Flag{settingsFlag(), checkFlag()},
+			Flags:     append(regionFlags(), settingsFlag(), checkFlag()),
 			Action:    runRoutes,
 		}},
 	}
@@ -65,6 +66,35 @@
 	}
 }
 
+// regionFlags returns the flags that a platform which renders regions can set by environment variables.
+func regionFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name: "region", Usage: "the host's `REGION`, in place of that in the settings", Local: true,
+			Sources: cli.EnvVars("WAGTAILWHARF_REGION"),
+		},
+		&cli.StringFlag{
+			Name: "zones", Usage: "the regions of the availability zones as a `JSON` object, in place of those in the settings",
+			Local: true, Sources: cli.EnvVars("WAGTAILWHARF_ZONES"),
+		},
+	}
+}
+
+// loadHostSettings reads the settings of a routing daemon and applies the command's overriding flags.
+func loadHostSettings(c *cli.Command, file string) (wharfhostsettings.Settings, error) {
+	settings, err := wharfhostsettings.Read(file)
+	if err != nil {
+		return settings, err
+	}
+	if region := c.String("region"); region != "" {
+		err = errors.Join(err, settings.Region.UnmarshalText([]byte(region)))
+	}
+	if zones := c.String("zones"); zones != "" {
+		err = errors.Join(err, settings.Zones.UnmarshalText([]byte(zones)))
+	}
+	return settings, errors.Join(err, settings.Validate())
+}
+
 // settingsFile returns the path of the settings file. The flag is not marked as required, because the root command's
 // flag would then also be required when a subcommand is run.
 func settingsFile(c *cli.Command) (string, error) {
@@ -123,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	settings, err := wharfhostsettings.Read(file)
+	settings, err := loadHostSettings(c, file)
 	if err != nil {
 		return settingsError(c, err)
 	}
