--- a/wharf/state/wharffleet/cold_test.go
+++ b/wharf/state/wharffleet/cold_test.go
@@ -233,7 +233,7 @@
 		assert.Assert(t, errors.Is(err, wharfpick.ErrAllCold), "this host does not know the others yet")
 		f.SetSenders(map[string][]string{"near": {"self"}, "far": {"other"}})
 		time.Sleep(settled)
-		assert.Equal(t, len(f.FreeSlotsElsewhere("s", true)), 0)
+		assert.Equal(t, len(f.FreeSlotsElsewhere("s", true, nil)), 0)
 		for range 8 {
 			p := pick(t, f, false)
 			assert.Equal(t, p.Endpoint.ID, "e0")
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -21,6 +21,8 @@
 	// NearOnly excludes the endpoints of other zones, and FreeOnly slots that are held by batch items.
 	NearOnly bool
 	FreeOnly bool
+	// Regions are those in which the request may run, nil for all.
+	Regions []string
 	// Requester is the host whose request it is, nil for this host.
 	Requester *Requester
 }
@@ -133,9 +135,10 @@
 	}
 }
 
-// mayUse reports whether an endpoint takes requests, has the request's version and is available.
+// mayUse reports whether an endpoint takes requests, is in a region and of the version that the request needs, and is available.
 func (sel *selection) mayUse(f *Fleet, e *entry) bool {
-	return f.takesRequests(e) && (sel.Version == "" || e.Version == sel.Version) && e.available(sel.LastAttempt, sel.now)
+	return f.takesRequests(e) && f.regions.Allows(e.Zone, sel.Regions) && (sel.Version == "" || e.Version == sel.Version) &&
+		e.available(sel.LastAttempt, sel.now)
 }
 
 // isCold reports whether an endpoint counts as cold for this host, or for the requester.
