--- a/wagtailwharfd/wharfhost/cold.go
+++ b/wagtailwharfd/wharfhost/cold.go
@@ -38,6 +38,21 @@
 	h.updateSenders()
 }
 
+// onRegistrationsWritten takes note of registrations that were written after a time. The queue's expected waits are from
+// the time when endpoints were cold if one of them is warm again.
+func (h *Host) onRegistrationsWritten(ids []string, after time.Time) {
+	h.fleet.Confirm(ids, after)
+	if !h.turnedWarm.Swap(false) {
+		return
+	}
+	h.gate.ForgetIntervals()
+	if table := h.table(); table != nil {
+		for _, s := range table.Services {
+			h.gate.Dispatch(s.Name)
+		}
+	}
+}
+
 // logColdness logs that an endpoint has become cold or warm. Only hosts of its zone send to a cold endpoint, and log it by
 // default: a zone that returns cold would otherwise take a line of each host for each endpoint.
 func (h *Host) logColdness(c wharffleet.ColdChange) {
@@ -46,6 +61,7 @@
 		verbosity = 1
 	}
 	if !c.Cold {
+		h.turnedWarm.Store(true)
 		klog.V(verbosity).InfoS("endpoint warm again", "endpoint", c.Endpoint, "service", c.Service, "endpoint-zone", c.Zone)
 		return
 	}
--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -67,6 +67,14 @@
 	AllCold bool
 }
 
+// busyError returns the error of a refusal as Busy.
+func (g *Grant) busyError() error {
+	if g.AllCold {
+		return wharfpick.ErrAllCold
+	}
+	return wharfgate.ErrBusy
+}
+
 // Refusal is why a slot was not granted.
 type Refusal int
 
@@ -194,10 +202,7 @@
 	}
 	switch grant.Refusal {
 	case Busy:
-		if grant.AllCold {
-			return nil, wharfpick.ErrAllCold
-		}
-		return nil, wharfgate.ErrBusy
+		return nil, grant.busyError()
 	case NoEndpoint:
 		return nil, wharfpick.ErrNoEndpoint
 	case NotReady:
--- a/wharf/coordination/wharfallocator/elsewhere.go
+++ b/wharf/coordination/wharfallocator/elsewhere.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"wagtailwharf.example/wharf/coordination/wharfgate"
 	"wagtailwharf.example/wharf/state/wharffleet"
 	"wagtailwharf.example/wharf/state/wharfpick"
 )
@@ -45,7 +44,7 @@
 				a.options.Count("slots-granted-elsewhere")
 				return grant, nil
 			case Busy:
-				return Grant{}, wharfgate.ErrBusy
+				return Grant{}, grant.busyError()
 			}
 			refusal = wharfpick.ErrNoEndpoint
 			break
