An organisation gets its whole burst wherever its requests arrive

What callers saw: an organisation with a rate and burst of 232 that went from 97 requests a second to six times as many was admitted 97, 220, 279, 236 and 231 in five seconds by 61 hosts; one bucket gives some 100 more in the third second.

Cause: a full share refills nothing, though tokens are missing elsewhere; one bucket would refill them. A report that is late costs one host's part of the burst at a time.

Change: a share remembers for two seconds what it could not refill because it was full (in 50 ms slots), and a share in which tokens are missing what the others may have overflowed meanwhile, never more than is missing. A pull claims the latter slot by slot, and is granted what did overflow then, once. So the tokens of all shares stay within one bucket's, and none are lost to full shares. Pulls are sized by the requests that wait and are divided among more hosts, evenly. A request is rejected after others were asked for it, or within 15 to 100 ms after they had nothing, for the time in which one bucket would not have had a token either. Tokens above a share's burst expire after 0.1 s, or the time of four tokens of small rates, for at most 2 s; before, they stayed. Tokens of a share that is only late last 50 to 100 ms. PullRequest has a new field; hosts of older builds neither send nor grant claims.

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -127,7 +127,7 @@
 		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
 	})
 	h.limiter = wharflimiter.New(wharflimiter.Options{
-		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
+		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Borrow: h.pullTokens,
 		Allocators:       h.gossip.Allocators,
 		AdmitAt:          h.admitAt,
 		Shares:           h.rateShares,
@@ -292,15 +292,11 @@
 }
 
 // pullTokens requests rate limit tokens from another host.
-func (h *Host) pullTokens(
-	ctx context.Context, peer wharfgossip.Peer, organisation string, wanted float64,
-) (float64, error) {
+func (h *Host) pullTokens(ctx context.Context, peer wharfgossip.Peer, loan wharflimiter.Loan) (float64, error) {
 	h.metrics.Count("pulls")
-	tokens, err := h.peerClient.Pull(ctx, peer.Address, wharfhostcalls.PullRequest{
-		Organisation: organisation, Wanted: wanted,
-	})
+	tokens, err := h.peerClient.Pull(ctx, peer.Address, wharfhostcalls.PullRequest(loan))
 	if err != nil {
-		klog.InfoS("token pull failed", "peer", peer.Host, "organisation", organisation, "error", err.Error())
+		klog.InfoS("token pull failed", "peer", peer.Host, "organisation", loan.Organisation, "error", err.Error())
 	}
 	return tokens, err
 }
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	server, err := wharfhostcalls.NewServer(wharfhostcalls.Handlers{
-		Pull:     func(r wharfhostcalls.PullRequest) float64 { return h.limiter.Give(r.Organisation, r.Wanted) },
+		Pull:     func(r wharfhostcalls.PullRequest) float64 { return h.limiter.Lend(wharflimiter.Loan(r)) },
 		Snapshot: h.snapshot,
 		Relay:    h.relay.Handle,
 		Reserve: func(r wharfallocator.Reservation) wharfallocator.Grant {
--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -1,16 +1,11 @@
 package wharflimiter
 
 import (
-	"cmp"
 	"context"
 	"math"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
 	"wagtailwharf.example/wharf/coordination/wharfgossip"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfroute"
@@ -24,16 +19,6 @@
 	// restartTokens is what a restarted host has in each share: enough for one request, which with ten hosts stays
 	// within a tenth of typical bursts.
 	restartTokens = 1.0
-	// pullTimeout bounds one pull from another host: several round trips between zones.
-	pullTimeout = 60 * time.Millisecond
-	// maxPullPeers is the maximum number of hosts asked in parallel, and maxPullRounds the maximum number of rounds.
-	// Small rates are split into fractions of a token over many hosts, and the known levels are slightly stale.
-	maxPullPeers  = 5
-	maxPullRounds = 3
-	// minPullTokens is the smallest fraction of a token worth pulling.
-	minPullTokens = 0.1
-	// emptyBackoff is how long requests are rejected without another pull after no host had a token.
-	emptyBackoff = 100 * time.Millisecond
 	// prefetchWindow is the demand for which tokens are pulled in advance: two prefetch intervals.
 	prefetchWindow = 200 * time.Millisecond
 	// prefetchInterval is the time between two checks of the levels.
@@ -59,8 +44,10 @@
 	Fresh bool
 	// Peers returns the other hosts.
 	Peers func() []wharfgossip.Peer
-	// Pull requests tokens from a host and returns how many it granted.
+	// Pull requests tokens from a host and returns how many it granted. It is used if Borrow is nil.
 	Pull func(ctx context.Context, peer wharfgossip.Peer, organisation string, wanted float64) (float64, error)
+	// Borrow requests a loan from a host and returns how many tokens it granted.
+	Borrow func(ctx context.Context, peer wharfgossip.Peer, loan Loan) (float64, error)
 	// Allocators returns the hosts of this zone that admit requests for all its hosts, first choice first, whether they
 	// answer or not. A small fleet has none.
 	Allocators func() []wharfgossip.AllocatorHost
@@ -92,16 +79,6 @@
 	shares        Shares
 	organisations []wharfroute.Organisation
 	codec         *levelCodec
-	pulls         singleflight.Group
-}
-
-// bucket is this host's share of an organisation's bucket.
-type bucket struct {
-	name       string
-	share      *wharfshare.Share
-	requests   float64 // since the last call of updateDemand
-	demandRate float64 // smoothed, in requests per second
-	emptyUntil time.Time
 }
 
 // New returns a Limiter without organisations.
@@ -149,11 +126,14 @@
 		known[o.Name] = true
 		b := l.buckets[o.Name]
 		if b == nil {
-			b = &bucket{name: o.Name, share: wharfshare.New(l.initialTokens(), now)}
+			b = &bucket{name: o.Name, share: wharfshare.New(l.initialTokens(), now), lenders: map[string]*lender{}}
 			l.buckets[o.Name] = b
 		}
+		b.limit = o
+		b.share.SetSurplusPeriod(surplusPeriod(o.Rate))
 		rate, burst := l.limitsOf(o)
 		b.share.Resize(rate, burst, now)
+		b.share.SetOtherRate(l.otherRate(o, rate))
 	}
 	for name := range l.buckets {
 		if !known[name] {
@@ -173,6 +153,25 @@
 	return reserveRefill * reserved * o.Rate, reserved * min(o.Burst, o.Rate*reservePeriod.Seconds())
 }
 
+// adjustBuckets follows a change of the number of shares. Tokens that exceed a smaller share last a while, because a
+// report that is only late soon gives them back.
+func (l *Limiter) adjustBuckets() {
+	now := time.Now()
+	for _, b := range l.buckets {
+		rate, burst := l.limitsOf(b.limit)
+		b.share.Adjust(rate, burst, now)
+		b.share.SetOtherRate(l.otherRate(b.limit, rate))
+	}
+}
+
+// otherRate returns what the shares of all other hosts refill, as far as this host may claim it.
+func (l *Limiter) otherRate(o wharfroute.Organisation, rate float64) float64 {
+	if l.shares.Used == 0 {
+		return 0
+	}
+	return max(0, o.Rate-rate)
+}
+
 func (l *Limiter) initialTokens() float64 {
 	if l.options.Fresh {
 		return math.MaxFloat64
@@ -226,156 +225,61 @@
 	return l.buckets[organisation] != nil
 }
 
-// AdmitHere takes one token of an organisation from this host's share, pulling tokens from other hosts if it is empty.
+// AdmitHere takes one token of an organisation from this host's share, or waits for tokens of other hosts if it is empty.
 func (l *Limiter) AdmitHere(ctx context.Context, a Admission) Decision {
-	organisation := a.Organisation
-	d, wanted, final := l.admitLocally(a)
-	if final {
+	d, w, b := l.admitLocally(a)
+	if w == nil {
 		return d
 	}
-	pulled, _, _ := l.pulls.Do(organisation, func() (any, error) {
-		return l.pull(ctx, organisation, wanted), nil
-	})
-	return l.admitAfterPull(organisation, pulled.(float64))
+	if b != nil {
+		l.borrowFor(context.WithoutCancel(ctx), b, w)
+	}
+	select {
+	case <-w.decided:
+		return w.decision
+	case <-ctx.Done():
+		return l.abandon(a.Organisation, w)
+	}
 }
 
-// admitLocally tries this host's share. final reports whether the decision stands without a pull; otherwise wanted is
-// the number of tokens to pull.
-func (l *Limiter) admitLocally(a Admission) (d Decision, wanted float64, final bool) {
+// admitLocally tries this host's share. If it is empty and others may have tokens, the request has to wait, and if no
+// others are being asked, this call has to ask them for the returned bucket.
+func (l *Limiter) admitLocally(a Admission) (Decision, *waiter, *bucket) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[a.Organisation]
 	if b == nil {
-		return Decision{Admitted: true}, 0, true
+		return Decision{Admitted: true}, nil, nil
 	}
 	now := time.Now()
 	b.requests++
-	d = Decision{HostCount: l.hostCount}
-	if b.share.Take(now) || a.Continues && b.share.Overdraw(overdraft, now) {
-		d.Admitted = true
-		d.Level = b.share.Level(now)
-		return d, 0, true
-	}
+	b.serve(now, l.hostCount)
+	d := Decision{HostCount: l.hostCount}
+	d.Admitted = b.share.Take(now) || a.Continues && b.share.Overdraw(overdraft, now)
 	d.Level = b.share.Level(now)
-	d.RetryAfter = l.retryAfter(b, now)
-	return d, max(1, b.demandRate*prefetchWindow.Seconds()), now.Before(b.emptyUntil)
-}
-
-func (l *Limiter) admitAfterPull(organisation string, pulled float64) Decision {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	d := Decision{HostCount: l.hostCount, Pulled: pulled}
-	b := l.buckets[organisation]
-	if b == nil {
-		d.Admitted = true
-		return d
+	if d.Admitted {
+		return d, nil, nil
 	}
-	now := time.Now()
-	d.Admitted = b.share.Take(now)
-	d.Level = b.share.Level(now)
-	if !d.Admitted {
-		b.emptyUntil = now.Add(emptyBackoff)
-		d.RetryAfter = l.retryAfter(b, now)
+	if now.Before(b.emptyUntil) {
+		d.RetryAfter = b.retryAfter(now)
+		return d, nil, nil
 	}
-	return d
-}
-
-func (l *Limiter) retryAfter(b *bucket, now time.Time) time.Duration {
-	return max(minRetryAfter, b.share.Wait(now)) + rand.N(retryAfterJitter)
-}
-
-// pull requests tokens from the hosts that have the most left and returns the total granted.
-func (l *Limiter) pull(ctx context.Context, organisation string, wanted float64) float64 {
-	peers := l.pullCandidates(organisation)
-	pulled := 0.0
-	for range maxPullRounds {
-		var round []pullCandidate
-		round, peers = nextPullRound(peers, wanted-pulled)
-		if len(round) == 0 {
-			break
-		}
-		pulled += l.pullFrom(ctx, round, organisation, wanted-pulled)
-		if pulled >= min(1, wanted) {
-			break
-		}
+	w := b.wait(now)
+	if b.borrowing {
+		return d, w, nil
 	}
-	return pulled
+	b.borrowing = true
+	return d, w, b
 }
 
-// pullFrom requests tokens from several hosts in parallel and adds what they grant to this host's share.
-func (l *Limiter) pullFrom(ctx context.Context, peers []pullCandidate, organisation string, wanted float64) float64 {
-	pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	granted := make([]float64, len(peers))
-	var pulls sync.WaitGroup
-	for i, p := range peers {
-		pulls.Go(func() {
-			tokens, err := l.options.Pull(pullCtx, p.peer, organisation, wanted)
-			if err == nil { // Pull logs its errors
-				granted[i] = tokens
-			}
-		})
-	}
-	pulls.Wait()
-	pulled := 0.0
-	for _, tokens := range granted {
-		pulled += tokens
-	}
+// abandon ends the wait of a request whose caller has gone.
+func (l *Limiter) abandon(organisation string, w *waiter) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.buckets[organisation]; b != nil && pulled > 0 {
-		b.share.Deposit(pulled, time.Now())
-	}
-	return pulled
-}
-
-// pullCandidate is a host and the level it last announced.
-type pullCandidate struct {
-	peer   wharfgossip.Peer
-	tokens float64
-}
-
-// nextPullRound returns the candidates to ask in parallel for the wanted tokens, and the remaining ones.
-func nextPullRound(peers []pullCandidate, wanted float64) (round, rest []pullCandidate) {
-	for i, p := range peers {
-		if i == maxPullPeers || wanted <= 0 {
-			return peers[:i], peers[i:]
-		}
-		wanted -= p.tokens
-	}
-	return peers, nil
-}
-
-// remoteCandidates returns the first allocators of the other zones in random order. Their levels are not known.
-func (l *Limiter) remoteCandidates() []pullCandidate {
-	var candidates []pullCandidate
-	for _, p := range l.options.RemoteAllocators() {
-		candidates = append(candidates, pullCandidate{p, minPullTokens})
-	}
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	return candidates
-}
-
-// pullCandidates returns the live hosts with at least minPullTokens, highest level first, or in a large fleet the
-// allocators of the other zones.
-func (l *Limiter) pullCandidates(organisation string) []pullCandidate {
-	if len(l.options.Allocators()) > 0 {
-		return l.remoteCandidates()
+	if b := l.buckets[organisation]; b != nil {
+		b.rejectWaiters(time.Now(), l.hostCount, func(other *waiter) bool { return other == w })
 	}
-	l.mu.Lock()
-	codec := l.codec
-	l.mu.Unlock()
-	var peers []pullCandidate
-	for _, p := range l.options.Peers() {
-		if p.Presence != wharfgossip.Alive {
-			continue
-		}
-		if level := codec.decode(p.Levels, organisation); level >= minPullTokens {
-			peers = append(peers, pullCandidate{p, level})
-		}
-	}
-	slices.SortFunc(peers, func(a, b pullCandidate) int { return cmp.Compare(b.tokens, a.tokens) })
-	return peers
+	return w.decision
 }
 
 // Give removes up to wanted tokens of an organisation from this host's share for another host and returns the number.
@@ -386,7 +290,19 @@
 	if b == nil {
 		return 0
 	}
-	return b.share.Withdraw(wanted, time.Now())
+	return b.lend(Loan{Wanted: wanted}, time.Now())
+}
+
+// Lend removes tokens of an organisation from this host's share for another host and returns their number. Reserves are
+// not lent.
+func (l *Limiter) Lend(loan Loan) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[loan.Organisation]
+	if b == nil || l.shares.Used == 0 {
+		return 0
+	}
+	return b.lend(loan, time.Now())
 }
 
 // Levels returns the tokens left in each of this host's shares.
@@ -401,9 +317,7 @@
 func (l *Limiter) Serve(ctx context.Context) error {
 	for wharfpause.For(ctx, prefetchInterval) {
 		l.updateShares()
-		for name, wanted := range l.updateDemand() {
-			_, _, _ = l.pulls.Do(name, func() (any, error) { return l.pull(ctx, name, wanted), nil })
-		}
+		l.updateDemand(ctx)
 	}
 	return ctx.Err()
 }
@@ -417,9 +331,16 @@
 	if l.hostsCounted {
 		hosts = l.hostCount
 	}
-	if shares != l.shares || hosts != l.hostCount {
-		l.shares, l.hostCount = shares, hosts
-		l.resizeBuckets()
+	if hosts != l.hostCount || shares.Used == 0 || l.shares.Used == 0 {
+		if shares != l.shares || hosts != l.hostCount {
+			l.shares, l.hostCount = shares, hosts
+			l.resizeBuckets()
+		}
+		return
+	}
+	if shares != l.shares {
+		l.shares = shares
+		l.adjustBuckets()
 	}
 }
 
@@ -433,21 +354,3 @@
 	}
 	return max(hosts, 1+len(l.options.Peers()))
 }
-
-// updateDemand updates the smoothed demand of each organisation. It returns the organisations whose share does not
-// cover the demand of the prefetch window, with the tokens to pull.
-func (l *Limiter) updateDemand() map[string]float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	shortfalls := map[string]float64{}
-	for name, b := range l.buckets {
-		b.demandRate = demandSmoothing*b.demandRate + (1-demandSmoothing)*b.requests/prefetchInterval.Seconds()
-		b.requests = 0
-		needed := b.demandRate * prefetchWindow.Seconds()
-		if level := b.share.Level(now); needed >= 1 && level < needed && !now.Before(b.emptyUntil) {
-			shortfalls[name] = needed - level
-		}
-	}
-	return shortfalls
-}
--- a/wharf/protocol/wharfhostcalls/calls.go
+++ b/wharf/protocol/wharfhostcalls/calls.go
@@ -25,6 +25,9 @@
 type PullRequest struct {
 	Organisation string
 	Wanted       float64
+	// Claims are those of the wanted tokens that the host may give beside its own (wharflimiter.Loan). Hosts of older builds
+	// neither send nor grant them.
+	Claims []float64
 }
 
 // PullReply holds the number of transferred tokens.
