--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -120,7 +120,7 @@
 	h.membership = membership{host: h, observed: map[string]rowObservation{}, started: time.Now()}
 	h.newDirectory()
 	h.limiter = wharflimiter.New(wharflimiter.Options{
-		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Pull: h.pullTokens,
+		Fresh: settings.FirstStart, Peers: h.gossip.Peers, Borrow: h.pullTokens,
 		Allocators:       h.gossip.Allocators,
 		AdmitAt:          h.admitAt,
 		Shares:           h.rateShares,
@@ -328,15 +328,11 @@
 }
 
 // pullTokens requests rate limit tokens from another host.
-func (h *Host) pullTokens(
-	ctx context.Context, peer wharfgossip.Peer, organisation string, wanted float64,
-) (float64, error) {
+func (h *Host) pullTokens(ctx context.Context, peer wharfgossip.Peer, loan wharflimiter.Loan) (float64, error) {
 	h.metrics.Count("pulls")
-	tokens, err := h.peerClient.Pull(ctx, peer.Address, wharfhostcalls.PullRequest{
-		Organisation: organisation, Wanted: wanted,
-	})
+	tokens, err := h.peerClient.Pull(ctx, peer.Address, wharfhostcalls.PullRequest(loan))
 	if err != nil {
-		klog.InfoS("token pull failed", "peer", peer.Host, "organisation", organisation, "error", err.Error())
+		klog.InfoS("token pull failed", "peer", peer.Host, "organisation", loan.Organisation, "error", err.Error())
 	}
 	return tokens, err
 }
