--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -74,6 +74,7 @@
 	connections    *wharfidle.Closer // of callers
 	membership     membership
 	evacuations    *wharfevacuation.Set // of the latest view; used by onViewChange only
+	turnedWarm     atomic.Bool          // a cold endpoint is warm again since registrations were last taken note of
 	limitsCold     atomic.Bool          // a service has a limit for cold endpoints
 	draining       atomic.Bool
 	drainRequested chan struct{}
@@ -157,7 +158,7 @@
 func (h *Host) newDirectory() {
 	h.directory = wharfdirectory.New(wharfdirectory.Options{
 		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
-		OnWritten: h.fleet.Confirm,
+		OnWritten: h.onRegistrationsWritten,
 	})
 	h.fleet.RequireCurrent(h.directory.Current)
 }
