wharffrontend: count the memory of callers' bodies, bound connections

Cause: each body was read whole by io.ReadAll, which takes up to twice its size, and nothing counted the bodies together. Connections had no bound at all, those at the readiness and metrics ports no idle timeout and heads of 1 MB. A refused request's body was read for as long as its client asked for by its deadline.

wharfmemory is one account for all bodies (x/sync/semaphore), a fifth of memory-mb, with a reserve for bodies up to 16 KiB. wharfbody reserves memory before it reads, in doubling steps, and ends bodies below 1 KiB/s over 10 s or after a minute. When memory or connections run out, the body that has been stalled for longest (4 KiB in 500 ms) is ended first, else the new request is refused (503 no-memory). Refusals are sent before a long body is read; at most 4 MiB are read after them for one second, so that the caller can read them. Submissions reserve their items and stored form, responses about jobs their page. Callers' connections are bounded by two thirds of the descriptors and a quarter of the memory; idle ones are closed first, then those without a request. Readiness and metrics have 16 connections and 5 s each.

The header limit of callers' ports is 32 KB, was 64 KB.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -152,7 +152,7 @@
 mutant any-late-answer-taken wharf/transport/wharfforwarder/forwarder.go \
 	's/return !a\.conn\.Reused/return true/' ./wharf/transport/wharfforwarder TestLateResponseWithoutIDIsNotTaken
 mutant slow-readers-kept wharf/transport/wharffrontend/server.go \
-	's/err := connection\.SetWriteDeadline\(deadline\)/var err error/' ./wagtailwharfd/wharfhost TestCallerThatDoesNotReadIsDropped
+	's/SetWriteDeadline\(deadline\)/SetWriteDeadline(deadline.Add(time.Hour))/' ./wagtailwharfd/wharfhost TestCallerThatDoesNotReadIsDropped
 
 host=./wagtailwharfd/wharfhost
 mutant parts-not-counted wharf/state/wharfcrash/request.go \
@@ -253,5 +253,16 @@
 mutant items-unchecked wharf/transport/wharffrontend/jobs.go 's/range items \{\n\t\tif err := items\[i\]/range items[:0] {\n\t\tif err := items[i]/' $host TestItemCannotHold
 mutant requests-unchecked wharf/transport/wharfhttpconn/conn.go 's/wharfcall\.ValidTarget\(r\.Target\)/wharfcall.ValidTarget("\/")/' \
 	./wharf/transport/wharfhttpconn FuzzSend
+untrusted=./wharf-load/wharfuntrusted
+mutant memory-not-counted wharf/state/wharfmemory/account.go \
+	's/semaphore\.NewWeighted\(size\)/semaphore.NewWeighted(1 << 40)/' $untrusted TestAnnouncedBodiesThatStopShort
+mutant stalled-bodies-kept wharf/state/wharfmemory/account.go \
+	's/now\.Sub\(r\.markedAt\) >= stallTime/now.IsZero()/' ./wharf/state/wharfmemory TestStalledBodiesGiveWay
+mutant slow-bodies-read wharf/transport/wharfbody/reader.go \
+	's/SetReadDeadline\(windowEnd\)/SetReadDeadline(time.Time{})/' ./wharf/transport/wharfbody TestBodiesEndAtTheirBounds
+mutant connections-not-bounded wharf/transport/wharfidle/closer.go \
+	's/if c\.most == 0 \|\| /if true || /' $untrusted TestIdleConnectionsOfCallers
+mutant side-ports-not-bounded wagtailwharfd/wharfservice/side.go \
+	's/MaxHeaderBytes: sideHeaderBytes, ConnState: connections\.Track,//' $untrusted TestUnfinishedHeadsAtReadiness
 
 exit $failed
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -201,7 +201,7 @@
 		"node_name": x.name, "zone": x.zone, "ip": x.ip, "listen.front": x.callers, "listen.ready": x.readiness,
 		"internal_ports.0": json.Number(port(x.peers)), "internal_ports.1": json.Number(port(x.metrics)),
 		"platform.address": x.deployment.address, "first_start": first, "limits.memory_mb": 314,
-		"limits.cpu_share": 0.8, "bounds.grace_s": 8, "bounds.status_s": 120,
+		"limits.max_open_files": 4096, "limits.cpu_share": 0.8, "bounds.grace_s": 8, "bounds.status_s": 120,
 	})
 	if err != nil {
 		return err
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -14,6 +14,7 @@
 	"wagtailwharf.example/platform/wharfcatalog"
 	"wagtailwharf.example/platform/wharfstoreclient"
 	"wagtailwharf.example/platform/wharfwire"
+	"wagtailwharf.example/wagtailwharfd/wharfservice"
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
 	"wagtailwharf.example/wharf/coordination/wharfblocklist"
 	"wagtailwharf.example/wharf/coordination/wharfdirectory"
@@ -30,7 +31,9 @@
 	"wagtailwharf.example/wharf/protocol/wharfhostsettings"
 	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfroute"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 	"wagtailwharf.example/wharf/transport/wharfdialer"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
 	"wagtailwharf.example/wharf/transport/wharffrontend"
@@ -69,6 +72,7 @@
 	metrics        *wharfmetrics.Metrics
 	callers        *http.Server
 	connections    *wharfidle.Closer // of callers
+	memory         *wharfmemory.Account
 	membership     membership
 	draining       atomic.Bool
 	drainRequested chan struct{}
@@ -152,6 +156,7 @@
 		Allocator:   h.allocator,
 		Retention:   time.Duration(h.settings.Jobs.Retention),
 	})
+	h.memory = wharfmemory.New(h.settings.BodyMemory())
 	h.frontend = wharffrontend.New(wharffrontend.Options{
 		Dialect:          wharfwire.New(),
 		Table:            h.table,
@@ -165,11 +170,16 @@
 		Crashes:          h.crashes,
 		Jobs:             h.jobs,
 		Metrics:          h.metrics,
-		ReportCrash:      h.reportCrash,
-		ReportAnswer:     h.reportAnswer,
-		TryBlocked:       h.tryBlocked,
+		Memory:           h.memory,
+		Bodies: wharfbody.New(wharfbody.Options{
+			Account: h.memory, MaxTime: time.Duration(h.settings.Limits.BodyTime), MinRate: h.settings.Limits.BodyRate,
+		}),
+		ReportCrash:  h.reportCrash,
+		ReportAnswer: h.reportAnswer,
+		TryBlocked:   h.tryBlocked,
 	})
 	h.connections = wharfidle.New(h.callerIdleTimeout)
+	h.connections.Bound(h.settings.MaxConnections(wharfservice.OpenFiles()), h.memory.EndStalled)
 	h.callers = &http.Server{
 		Handler:           h.frontend,
 		ReadHeaderTimeout: headerTimeout,
@@ -194,7 +204,7 @@
 	// headerTimeout bounds the time to read a request header and maxHeaderBytes its size. Both exceed the limits that a
 	// configuration may set.
 	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 32 << 10
 	// defaultIdleTimeout is the idle timeout of caller connections if the configuration sets none.
 	defaultIdleTimeout = 60 * time.Second
 )
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -104,8 +104,8 @@
 
 // supervisor returns the supervision tree of all services.
 func (h *Host) supervisor(l *listeners, server *rpc.Server) *suture.Supervisor {
-	readiness := &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: headerTimeout}
-	metrics := &http.Server{Handler: http.HandlerFunc(h.serveMetrics), ReadHeaderTimeout: headerTimeout}
+	readiness := wharfservice.NewSideServer(http.HandlerFunc(h.serveReadiness))
+	metrics := wharfservice.NewSideServer(http.HandlerFunc(h.serveMetrics))
 	control := []wharfservice.Service{
 		{Name: "directory", Run: h.directory.Serve},
 		{Name: "gossip", Run: h.gossip.Serve},
@@ -156,6 +156,10 @@
 		"online-running":       h.frontend.InFlight(),
 		"online-waiting":       h.gate.Waiting(),
 		"batch-running":        h.runner.Running(),
+		"caller-connections":   h.connections.Counts(),
+		"caller-memory":        h.memory.Held(),
+		"caller-memory-limit":  h.memory.Size(),
+		"slow-bodies-ended":    h.memory.Ended(),
 		"holders":              h.membership.hostCount(),
 		"configuration-age-ms": h.directory.Age().Milliseconds(),
 		"allocators":           h.allocatorNames(),
--- a/wharf/protocol/wharfhostsettings/settings.go
+++ b/wharf/protocol/wharfhostsettings/settings.go
@@ -26,10 +26,20 @@
 	ProcessorShare float64 `toml:"processor-share"`
 	// MaxMeshPeers is the number of other hosts up to which all hosts tell each other all changes directly. With more,
 	// two hosts of each zone allocate the slots of its endpoints.
-	MaxMeshPeers int  `toml:"max-mesh-peers"`
-	LogLevel     int  `toml:"log-level"`
-	Stop         Stop `toml:"stop"`
-	Jobs         Jobs `toml:"jobs"`
+	MaxMeshPeers int    `toml:"max-mesh-peers"`
+	LogLevel     int    `toml:"log-level"`
+	Stop         Stop   `toml:"stop"`
+	Jobs         Jobs   `toml:"jobs"`
+	Limits       Limits `toml:"limits"`
+}
+
+// Limits holds the limits of what callers may take of a host, whoever they are.
+type Limits struct {
+	MaxOpenFiles   int                    `toml:"max-open-files"`  // of the process; 0 for what the system allows it
+	MaxConnections int                    `toml:"max-connections"` // of callers; 0 for a share of MaxOpenFiles and MemoryMB
+	BodyMemoryMB   int64                  `toml:"body-memory-mb"`  // for callers' bodies together; 0 for a share of MemoryMB
+	BodyTime       wharfsettings.Duration `toml:"body-time"`       // for one body
+	BodyRate       int64                  `toml:"body-rate"`       // least bytes per second of a body
 }
 
 // Stop holds the settings of a planned shutdown.
@@ -52,7 +62,44 @@
 		MaxMeshPeers:   wharfgossip.DefaultMaxMeshPeers,
 		Stop:           Stop{Limit: wharfsettings.Duration(8 * time.Second)},
 		Jobs:           Jobs{Retention: wharfsettings.Duration(2 * time.Minute)},
+		Limits:         Limits{BodyTime: wharfsettings.Duration(time.Minute), BodyRate: defaultBodyRate},
+	}
+}
+
+// defaultBodyRate is below the rate of any link that is of use: a prompt of 4 KB would take four seconds.
+const defaultBodyRate = 1 << 10
+
+const (
+	// bodyMemoryShare is the part of the memory, one in bodyMemoryShare, for bodies of callers, and reserveShare the part
+	// beside it for small bodies alone. A daemon without load takes some 20 MB, outputs of batch items an eighth, and what the
+	// garbage collector has not yet freed as much as the bodies.
+	bodyMemoryShare = 5
+	reserveShare    = 24
+	// connectionMemoryShare is the part of the memory for connections of callers, and connectionBytes what one takes at most:
+	// its buffers and stack, and a header of 32 KB.
+	connectionMemoryShare = 4
+	connectionBytes       = 48 << 10
+)
+
+// BodyMemory returns the bytes that callers' bodies may hold together, and the reserve for small ones beside them.
+func (s *Settings) BodyMemory() (size, reserve int64) {
+	size = s.Limits.BodyMemoryMB << 20
+	if size == 0 {
+		size = s.MemoryMB << 20 / bodyMemoryShare
 	}
+	return size, s.MemoryMB << 20 / reserveShare
+}
+
+// MaxConnections returns the largest number of callers' connections for a process that may open openFiles descriptors. A
+// third of them is left for endpoints, other hosts, the store and files.
+func (s *Settings) MaxConnections(openFiles int) int {
+	if s.Limits.MaxConnections > 0 {
+		return s.Limits.MaxConnections
+	}
+	if s.Limits.MaxOpenFiles > 0 {
+		openFiles = min(openFiles, s.Limits.MaxOpenFiles)
+	}
+	return min(openFiles*2/3, int(s.MemoryMB<<20/connectionMemoryShare/connectionBytes))
 }
 
 // PeerAddress returns the address at which other hosts reach this host by RPC and by UDP.
@@ -96,6 +143,13 @@
 	require(s.MaxMeshPeers >= 0, "max-mesh-peers must not be negative")
 	require(s.Stop.Limit > 0, "stop.limit must be longer than 0")
 	require(s.Jobs.Retention > 0, "jobs.keep must be longer than 0")
+	require(s.Limits.MaxOpenFiles == 0 || s.Limits.MaxOpenFiles >= minOpenFiles,
+		"limits.max-open-files must be at least %d, or 0", minOpenFiles)
+	require(s.Limits.MaxConnections >= 0, "limits.max-connections must not be negative")
+	require(s.Limits.BodyMemoryMB == 0 || s.Limits.BodyMemoryMB >= minBodyMemoryMB && s.Limits.BodyMemoryMB <= s.MemoryMB/2,
+		"limits.body-memory-mb must be from %d to half of memory-mb, or 0", minBodyMemoryMB)
+	require(s.Limits.BodyTime > 0, "limits.body-time must be longer than 0")
+	require(s.Limits.BodyRate >= 0, "limits.body-rate must not be negative")
 	if len(problems) == 0 {
 		return nil
 	}
@@ -105,5 +159,12 @@
 // minMemoryMB is the smallest memory limit with which a daemon can start and serve requests.
 const minMemoryMB = 64
 
+const (
+	// minOpenFiles is the smallest number of descriptors with which a daemon can start and serve requests.
+	minOpenFiles = 64
+	// minBodyMemoryMB holds one body of 4 MiB and its buffer half the size, which it has outgrown.
+	minBodyMemoryMB = 8
+)
+
 // maxProcessorShare is the largest number of cores of a host.
 const maxProcessorShare = 1024
--- a/wharf/protocol/wharfhostsettings/settings_test.go
+++ b/wharf/protocol/wharfhostsettings/settings_test.go
@@ -52,6 +52,12 @@
 		{`memory-mb = 154`, "memory-mb = 154\nmax-mesh-peers = -1", "max-mesh-peers must not be negative"},
 		{`limit = "8s"`, `limit = "soon"`, "soon"},
 		{`keep = "120s"`, `kept = "120s"`, "unknown key"},
+		{`[jobs]`, "[limits]\nmax-open-files = 63\n[jobs]", "limits.max-open-files must be at least 64"},
+		{`[jobs]`, "[limits]\nmax-connections = -1\n[jobs]", "limits.max-connections must not be negative"},
+		{`[jobs]`, "[limits]\nbody-memory-mb = 7\n[jobs]", "limits.body-memory-mb must be from 8"},
+		{`[jobs]`, "[limits]\nbody-memory-mb = 78\n[jobs]", "limits.body-memory-mb must be from 8 to half of memory-mb"},
+		{`[jobs]`, "[limits]\nbody-time = \"0s\"\n[jobs]", "limits.body-time must be longer than 0"},
+		{`[jobs]`, "[limits]\nbody-rate = -1\n[jobs]", "limits.body-rate must not be negative"},
 	} {
 		_, err := Parse([]byte(strings.Replace(valid, c.from, c.to, 1)))
 		assert.Assert(t, errors.Is(err, wharfsettings.ErrInvalid), c.to)
@@ -67,3 +73,31 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.PeerAddress().String(), "10.9.0.1:4000")
 }
+
+// TestLimitsFollowFromTheMachine checks that a daemon of the smallest machine can hold a body of the largest size, and that
+// its connections leave memory and descriptors for the rest.
+func TestLimitsFollowFromTheMachine(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB              int64
+		openFiles, configured int
+		want                  int
+	}{
+		{64, 1 << 20, 0, 341},
+		{144, 1 << 20, 3075, 768},
+		{1024, 1 << 20, 3075, 2050},
+		{1024, 1000, 3075, 666},
+		{1024, 1 << 20, 10250, 5461},
+	} {
+		s := Default()
+		s.MemoryMB, s.Limits.MaxOpenFiles = c.memoryMB, c.configured
+		size, reserve := s.BodyMemory()
+		assert.Assert(t, size >= 6<<20+2, "a body of 4 MiB and the buffer that it has outgrown")
+		assert.Assert(t, reserve >= 128*16<<10, "128 small bodies")
+		assert.Equal(t, s.MaxConnections(c.openFiles), c.want)
+	}
+	s := Default()
+	s.Limits.MaxConnections, s.Limits.BodyMemoryMB = 50, 30
+	size, _ := s.BodyMemory()
+	assert.Equal(t, size, int64(30<<20))
+	assert.Equal(t, s.MaxConnections(1000), 50)
+}
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -12,6 +12,8 @@
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/protocol/wharfdialect"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
+	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharftask"
 	"wagtailwharf.example/wharf/transport/wharfmetrics"
 )
 
@@ -23,6 +25,10 @@
 	jobQueryTimeout = 600 * time.Millisecond
 	// maxPageBytes is the largest page of results in bytes, leaving room for the response's framing.
 	maxPageBytes = 900 << 10
+	// pageReserve is the memory of a page of results and its encoded form, and itemsReserve that of a job's items while one of
+	// them is looked up.
+	pageReserve  = 2 * maxPageBytes
+	itemsReserve = 4 << 20
 	// maxItems is the largest number of items in a job.
 	maxItems = 200
 )
@@ -44,9 +50,9 @@
 
 // submit stores a batch job and responds once it is durable.
 func (q *request) submit(parent context.Context) error {
-	items, err := q.server.options.Dialect.DecodeItems(q.call.Body)
+	items, err := q.decodeItems(parent)
 	if err != nil {
-		return errMalformed
+		return err
 	}
 	if len(items) == 0 || len(items) > maxItems {
 		return errJobTooLarge
@@ -81,6 +87,35 @@
 	return nil
 }
 
+// decodedShare is how many times the size of a submission its items and their stored form take together at most.
+const decodedShare = 3
+
+// decodeItems decodes a submission. It reserves the memory of the items and their stored form before, and gives up the body.
+func (q *request) decodeItems(ctx context.Context) ([]wharfcall.Item, error) {
+	size := int64(len(q.call.Body))
+	if err := q.reserve(ctx, min((1+decodedShare)*size, q.server.options.Memory.Size())); err != nil {
+		return nil, err
+	}
+	items, err := q.server.options.Dialect.DecodeItems(q.call.Body)
+	q.call.Body = nil
+	if err != nil {
+		return nil, errMalformed
+	}
+	q.memory.Shrink(min(decodedShare*size, q.server.options.Memory.Size()))
+	return items, nil
+}
+
+// reserve raises the memory of the request to a total.
+func (q *request) reserve(ctx context.Context, total int64) error {
+	if q.memory == nil {
+		q.memory = q.server.options.Memory.Open(nil)
+	}
+	if err := q.memory.Grow(ctx, total); err != nil {
+		return q.withRetryAfter(errNoMemory)
+	}
+	return nil
+}
+
 // jobRefusal maps errors of the job store to refusals.
 func (q *request) jobRefusal(err error) error {
 	switch {
@@ -100,11 +135,11 @@
 
 // serveJob serves a request about a previously submitted job.
 func (q *request) serveJob(r *http.Request, job wharfdialect.JobCall) error {
-	q.discardBody(r)
 	q.call.ID = job.JobID
 	if err := q.authenticate(); err != nil {
 		return err
 	}
+	q.limitWriting(q.remaining())
 	limit := storeTimeout
 	if job.Action != wharfdialect.CancelJob {
 		limit = job.Wait + jobQueryTimeout
@@ -144,6 +179,9 @@
 	if err != nil {
 		return err
 	}
+	if err := q.reserve(ctx, itemsReserve); err != nil {
+		return err
+	}
 	items, err := jobs.Items(ctx, &job)
 	if err != nil {
 		return q.jobRefusal(err)
@@ -188,10 +226,14 @@
 	if err != nil {
 		return err
 	}
+	if err := q.reserve(ctx, pageReserve); err != nil {
+		return err
+	}
 	results, err := q.server.options.Jobs.Results(ctx, job, call.After, maxPageBytes)
 	if err != nil {
 		return q.jobRefusal(err)
 	}
+	q.memory.Shrink(int64(resultsSize(results)))
 	return q.server.options.Dialect.WriteResults(q.writer, results)
 }
 
@@ -225,3 +267,13 @@
 		}
 	}
 }
+
+// resultsSize returns the memory of a page of results and its encoded form.
+func resultsSize(results wharftask.Results) int {
+	const overhead = 64 // of an entry
+	size := 0
+	for _, r := range results.Results {
+		size += 2 * (len(r.ItemID) + len(r.Output) + overhead)
+	}
+	return size
+}
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,8 +19,10 @@
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharftimeout"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
 	"wagtailwharf.example/wharf/transport/wharfmetrics"
 )
@@ -57,6 +58,10 @@
 		"the request is larger than this deployment allows")
 	errHeaderTooLarge = wharfrefusal.New(http.StatusRequestHeaderFieldsTooLarge, "header-too-large",
 		"the request's header is larger than this deployment allows")
+	errNoMemory = wharfrefusal.New(http.StatusServiceUnavailable, "no-memory",
+		"this host has no memory left for the request; come back later")
+	errTooSlow = wharfrefusal.New(http.StatusRequestTimeout, "too-slow",
+		"the request's body arrives more slowly than this host allows")
 	errBodyTruncated = wharfrefusal.New(http.StatusBadRequest, "cut-short", "the request's body was cut short")
 	errMalformed     = wharfrefusal.New(http.StatusBadRequest, "malformed", "the request can not be read")
 	errBusy          = wharfrefusal.New(http.StatusServiceUnavailable, "busy",
@@ -100,6 +105,8 @@
 	Origins          *wharforigins.Origins
 	Crashes          *wharfcrash.Tracker
 	Jobs             *wharfjobstore.Store
+	Bodies           *wharfbody.Reader
+	Memory           *wharfmemory.Account // for bodies, responses about jobs and the decoding of submissions
 	Metrics          *wharfmetrics.Metrics
 	// ReportCrash records that an endpoint crashed under a request that it had not begun to answer. It returns the number of
 	// crashes counted against the request.
@@ -160,6 +167,8 @@
 	route        *wharfroute.Route
 	organisation *wharfroute.Organisation // nil on open routes
 	writer       http.ResponseWriter
+	memory       *wharfmemory.Reservation // nil until the body is read
+	unread       bool                     // the body was not read to its end, so that the connection is closed
 }
 
 // ServeHTTP routes one request and serves or refuses it.
@@ -172,24 +181,47 @@
 	call := s.options.Dialect.DecodeCall(r)
 	call.Arrived = time.Now()
 	q := &request{server: s, call: call, table: s.options.Table(), writer: w}
-	q.limitConnection(r)
-	if err := q.serve(r); err != nil {
+	q.limitReading(r)
+	q.limitWriting(min(q.remaining(), defaultTimeout))
+	defer q.releaseMemory()
+	err := q.serve(r)
+	if err != nil {
 		q.refuse(err)
 	}
+	if q.unread {
+		q.releaseMemory()
+		s.options.Bodies.Linger(w, r)
+	}
+}
+
+// releaseMemory gives the memory of the request back.
+func (q *request) releaseMemory() {
+	if q.memory != nil {
+		q.memory.Release()
+	}
 }
 
 // connectionMargin is how much longer than its request a connection may take to be read and written.
 const connectionMargin = 500 * time.Millisecond
 
-// limitConnection bounds the time in which the caller must send the body and read the response, so that one that
-// stalls holds neither memory nor a slot for longer than its deadline.
-func (q *request) limitConnection(r *http.Request) {
-	deadline := time.Now().Add(q.remaining() + connectionMargin)
+// limitReading bounds the time in which the caller must send a body that is not read by a wharfbody.Reader.
+func (q *request) limitReading(r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	deadline := time.Now().Add(min(q.remaining(), defaultTimeout) + connectionMargin)
+	if err := http.NewResponseController(q.writer).SetReadDeadline(deadline); err != nil {
+		klog.V(1).InfoS("failed to limit a caller's connection", "request-id", q.call.ID, "error", err.Error())
+	}
+}
+
+// limitWriting bounds the time in which the caller must read the response, so that one that stalls holds neither memory nor a
+// slot for longer than its deadline. Until the route is known, the deadline is at most the default one, whatever the caller
+// asks for.
+func (q *request) limitWriting(limit time.Duration) {
+	deadline := time.Now().Add(limit + connectionMargin)
 	connection := http.NewResponseController(q.writer)
 	err := connection.SetWriteDeadline(deadline)
-	if r.ContentLength != 0 {
-		err = errors.Join(err, connection.SetReadDeadline(deadline))
-	}
 	if err != nil {
 		klog.V(1).InfoS("failed to limit a caller's connection", "request-id", q.call.ID, "error", err.Error())
 	}
@@ -207,6 +239,7 @@
 	}
 	job, isJob, err := s.options.Dialect.DecodeJobCall(r)
 	if isJob && q.acceptsJobs() {
+		q.discardBody(r)
 		if err != nil {
 			return errMalformed
 		}
@@ -221,6 +254,7 @@
 		q.discardBody(r)
 		return err
 	}
+	q.limitWriting(q.remaining())
 	if err := q.readBody(r); err != nil {
 		return err
 	}
@@ -307,43 +341,41 @@
 	return context.WithTimeoutCause(parent, q.remaining(), cause)
 }
 
-// readBody reads the request body, up to the configured size limit.
+// readBody reads the request body, up to the configured size limit, until the request's deadline.
 func (q *request) readBody(r *http.Request) error {
 	limit := q.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if r.ContentLength > limit {
-		return errTooLarge
+	deadline := time.Now().Add(q.remaining() + connectionMargin)
+	body, err := q.server.options.Bodies.Read(q.server.bodies, q.writer, r, limit, deadline)
+	q.memory = body.Memory
+	if err != nil {
+		q.discardBody(r)
+		return q.bodyRefusal(err)
 	}
-	connection := http.NewResponseController(q.writer)
-	keepReading := context.AfterFunc(q.server.bodies, func() { _ = connection.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, r.Body, limit))
-	givenUp := !keepReading()
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	q.call.Body = body.Data
+	return nil
+}
+
+// bodyRefusal maps errors of a body that was not read.
+func (q *request) bodyRefusal(err error) error {
+	switch {
+	case errors.Is(err, wharfbody.ErrTooLarge):
 		return errTooLarge
-	}
-	if err != nil && givenUp {
+	case errors.Is(err, wharfmemory.ErrExhausted):
+		return q.withRetryAfter(errNoMemory)
+	case errors.Is(err, wharfbody.ErrGivenUp):
 		return errStopping.WithExactRetryAfter(stoppingRetryAfter)
+	case errors.Is(err, wharfbody.ErrTooSlow):
+		return errTooSlow
 	}
-	if err != nil {
-		return errBodyTruncated
-	}
-	// The server goes on reading, to notice that the caller disconnects.
-	if err := connection.SetReadDeadline(time.Time{}); err != nil {
-		klog.V(1).InfoS("failed to lift a caller's read limit", "request-id", q.call.ID, "error", err.Error())
-	}
-	q.call.Body = body
-	return nil
+	return errBodyTruncated
 }
 
-// discardBody reads the body of a refused request: closing the connection with unread data could reset it before the
-// caller has received the response.
+// discardBody reads a short rest of the body of a refused request. If there is more, the response closes the connection.
 func (q *request) discardBody(r *http.Request) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)); err != nil {
-		klog.V(1).InfoS("failed to read body of refused request", "request-id", q.call.ID, "error", err.Error())
-	}
+	q.unread = !q.server.options.Bodies.Settle(q.writer, r)
 }
 
 // refuse responds with a refusal, counts it and logs it.
--- a/wharf/transport/wharfidle/closer_test.go
+++ b/wharf/transport/wharfidle/closer_test.go
@@ -44,3 +44,48 @@
 		assert.Assert(t, !unlimited.closed.Load())
 	})
 }
+
+// TestConnectionsMakeRoom guards against connections that keep others out: idle ones are closed first, then those without a
+// request, then those whose requests hardly arrive. Connections that carry requests are kept.
+func TestConnectionsMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 16
+		stalled := 1
+		closer := New(func() time.Duration { return time.Hour })
+		closer.Bound(most, func() bool {
+			stalled--
+			return stalled >= 0
+		})
+		open := make([]*conn, most)
+		for i := range open {
+			open[i] = &conn{}
+			closer.Track(open[i], http.StateNew)
+			time.Sleep(time.Second)
+			if i != 2 {
+				closer.Track(open[i], http.StateActive)
+			}
+		}
+		closer.Track(open[9], http.StateIdle)
+		time.Sleep(time.Second)
+		closer.Track(open[5], http.StateIdle)
+		latest := func() *conn {
+			c := &conn{}
+			closer.Track(c, http.StateNew)
+			closer.Track(c, http.StateActive)
+			return c
+		}
+		for _, want := range []int{9, 5, 2} {
+			assert.Assert(t, !open[want].closed.Load())
+			assert.Assert(t, !latest().closed.Load())
+			assert.Assert(t, open[want].closed.Load(), "connection %d is still open", want)
+		}
+		assert.Assert(t, !latest().closed.Load(), "a stalled request was ended for it")
+		assert.Assert(t, latest().closed.Load(), "nothing is left to end")
+		counts := closer.Counts()
+		assert.Equal(t, counts.Closed, 4)
+		assert.Equal(t, counts.Refused, 1)
+		for i, c := range open {
+			assert.Equal(t, c.closed.Load(), i == 9 || i == 5 || i == 2)
+		}
+	})
+}
--- a/wharf/transport/wharfidle/readable.go
+++ b/wharf/transport/wharfidle/readable.go
@@ -29,16 +29,21 @@
 
 // readable reports whether a connection has unread data. It returns false for one that has no socket.
 func readable(conn net.Conn) bool {
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = wrapped.NetConn()
-	}
-	socket, ok := conn.(syscall.Conn)
+	raw, ok := socket(conn).(syscall.Conn)
 	if !ok {
 		return false
 	}
-	unread, err := Readable(socket)
+	unread, err := Readable(raw)
 	if err != nil {
 		klog.V(1).InfoS("failed to see whether a connection has unread data", "error", err.Error())
 	}
 	return unread
 }
+
+// socket returns the connection below TLS, or conn itself without TLS.
+func socket(conn net.Conn) net.Conn {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return wrapped.NetConn()
+	}
+	return conn
+}
