--- a/wharf-load/wharfstack/stack.go
+++ b/wharf-load/wharfstack/stack.go
@@ -45,6 +45,7 @@
 	LeaseTerm      time.Duration
 	Headroom       float64
 	Policies       map[string]string // [policies] of the daemons' settings; empty values are omitted
+	Limits         string            // lines of [limits] of the daemons' settings
 }
 
 // Organisation is an organisation of the deployment, which gets one API key.
@@ -242,7 +243,7 @@
 	}
 	settings := fmt.Sprintf(settingsFormat, name, zone, addresses[0], addresses[1], addresses[2], s.Platform.URL,
 		s.Options.LeaseTerm, s.path("peer-token"), s.path("operator-token"), s.Options.Headroom,
-		s.signerPublicKey) + s.policySettings()
+		s.signerPublicKey) + s.policySettings() + "\n\n[limits]\n" + s.Options.Limits
 	if err := s.writeFile(name+".toml", settings); err != nil {
 		return nil, err
 	}
--- a/wharf-load/wharfuntrusted/daemon_test.go
+++ b/wharf-load/wharfuntrusted/daemon_test.go
@@ -38,8 +38,8 @@
 	pollPause    = 20 * time.Millisecond
 )
 
-// program is the path of the daemon's executable.
-var program string
+// binaries is the folder of the executables, of which wagtailwharfd starts the daemon with a limit of open descriptors.
+var binaries string
 
 func TestMain(m *testing.M) {
 	os.Exit(runTests(m))
@@ -57,15 +57,30 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	program = filepath.Join(folder, "wagtailwharfd")
-	build := exec.Command("go", "build", "-o", program, "wagtailwharf.example/wagtailwharfd")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "failed to build the daemon: %v\n%s", err, output)
+	if err := buildAll(folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
+	binaries = folder
 	return m.Run()
 }
 
+// buildAll builds the executables of a deployment in a folder.
+func buildAll(folder string) error {
+	daemon := filepath.Join(folder, "daemon")
+	for file, pattern := range map[string]string{
+		daemon:                                 "wagtailwharf.example/wagtailwharfd",
+		filepath.Join(folder, "wagtailwharf"):  "wagtailwharf.example/wagtailwharf",
+		filepath.Join(folder, "wharf-standin"): "wagtailwharf.example/wharf-standin",
+	} {
+		if output, err := exec.Command("go", "build", "-o", file, pattern).CombinedOutput(); err != nil {
+			return fmt.Errorf("failed to build %s: %w\n%s", pattern, err, output)
+		}
+	}
+	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d && exec %q \"$@\"\n", maxOpenFiles, daemon)
+	return os.WriteFile(filepath.Join(folder, "wagtailwharfd"), []byte(script), 0o700)
+}
+
 // daemon is a running daemon with a store and endpoints.
 type daemon struct {
 	t         *testing.T
@@ -74,7 +89,9 @@
 	callers   netip.AddrPort
 	readiness netip.AddrPort
 	metrics   netip.AddrPort
-	mostOpen  int // largest number of open descriptors that was seen
+	memoryMB  float64             // bound of its peak resident memory
+	mostOpen  int                 // largest number of open descriptors that was seen
+	ordinary  func(try int) error // sends an ordinary request and reads its response
 }
 
 // nextPort is the next loopback port to try, below the kernel's ephemeral range.
@@ -117,29 +134,23 @@
 		assert.NilError(t, err)
 		t.Cleanup(e.Stop)
 	}
-	d := &daemon{t: t, callers: freePort(t), readiness: freePort(t), metrics: freePort(t)}
+	d := &daemon{t: t, callers: freePort(t), readiness: freePort(t), metrics: freePort(t), memoryMB: memoryMB}
+	d.ordinary = d.sendOrdinary
 	settings := filepath.Join(t.TempDir(), "host.toml")
 	text := fmt.Sprintf("host = \"host\"\navailability-zone = \"zone\"\ncallers = %q\nreadiness = %q\npeers = %q\nmetrics = %q\n"+
 		"store = %q\nfirst-start = true\nmemory-mb = %d\n",
 		d.callers, d.readiness, freePort(t), d.metrics, server.Listener.Addr().String(), memoryMB)
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
-	d.run("routes", "--settings", settings)
+	d.logs = filepath.Join(t.TempDir(), "log")
+	d.process = wharfprocess.New(d.logs, filepath.Join(binaries, "wagtailwharfd"), "routes", "--settings", settings)
+	assert.NilError(t, d.process.Start())
+	t.Cleanup(d.process.Kill)
 	d.await("the daemon is ready", func() bool {
 		return wharfstandin.Ready(t.Context(), d.readiness.String())
 	})
 	return d
 }
 
-// run starts the daemon's program with a limit of open descriptors. Cleanup kills it.
-func (d *daemon) run(arguments ...string) {
-	d.t.Helper()
-	d.logs = filepath.Join(d.t.TempDir(), "log")
-	command := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxOpenFiles)
-	d.process = wharfprocess.New(d.logs, "sh", append([]string{"-c", command, program}, arguments...)...)
-	assert.NilError(d.t, d.process.Start())
-	d.t.Cleanup(d.process.Kill)
-}
-
 // await polls until condition holds and fails the test after waitLimit or if the daemon has ended.
 func (d *daemon) await(what string, condition func() bool) {
 	d.t.Helper()
@@ -191,24 +202,38 @@
 func (d *daemon) assertServes() {
 	d.t.Helper()
 	d.checkBounds()
-	caller := wharfstandin.NewCaller(callerHost, key)
 	tries := 0
 	d.await("an ordinary request is answered", func() bool {
-		ctx, cancel := context.WithTimeout(d.t.Context(), 5*time.Second)
-		defer cancel()
 		tries++
-		response := caller.Send(ctx, d.callers.String(), "POST", "/resume/x", fmt.Sprint("ordinary-", tries), "prompt")
-		return response.Err == nil && response.Status == 200
+		err := d.ordinary(tries)
+		if err != nil {
+			d.t.Logf("ordinary request %d: %v", tries, err)
+		}
+		return err == nil
 	})
 	d.checkBounds()
 	d.t.Logf("peak memory %.0f MB, %d descriptors, ordinary request answered at try %d", d.peakMemoryMB(), d.mostOpen, tries)
 }
 
+// errNotServed means that an ordinary request was refused.
+var errNotServed = errors.New("not served")
+
+// sendOrdinary sends an ordinary request to a daemon on the platform.
+func (d *daemon) sendOrdinary(try int) error {
+	ctx, cancel := context.WithTimeout(d.t.Context(), 5*time.Second)
+	defer cancel()
+	response := wharfstandin.NewCaller(callerHost, key).Send(ctx, d.callers.String(), "POST", "/resume/x", fmt.Sprint("ordinary-", try), "prompt")
+	if response.Err == nil && response.Status != 200 {
+		return fmt.Errorf("%w: %d %s", errNotServed, response.Status, response.Body)
+	}
+	return response.Err
+}
+
 func (d *daemon) checkBounds() {
 	d.t.Helper()
 	d.assertAlive()
 	d.countDescriptors()
 	peak := d.peakMemoryMB()
-	assert.Check(d.t, peak <= memoryMB, "peak memory is %.0f MB, at most %d allowed", peak, memoryMB)
+	assert.Check(d.t, peak <= d.memoryMB, "peak memory is %.0f MB, at most %.0f allowed", peak, d.memoryMB)
 	assert.Check(d.t, d.mostOpen <= maxDescriptors, "%d descriptors were open, at most %d allowed", d.mostOpen, maxDescriptors)
 }
