wharfgateway: count the memory of bodies, uploads and results

Our own interface reads its bodies and input files by wharfbody too, and keeps the results that it writes within the same account: twice the largest input file and four of the largest bodies. Uploads reserve the chunks that are stored. Callers that do not read a file are cut off at ten times body-time. The callers' and the operators' ports have bounds of connections; without memory-mb, the collector is told what the process needs at most.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -264,5 +264,7 @@
 	's/if c\.most == 0 \|\| /if true || /' $untrusted TestIdleConnectionsOfCallers
 mutant side-ports-not-bounded wagtailwharfd/wharfservice/side.go \
 	's/MaxHeaderBytes: sideHeaderBytes, ConnState: connections\.Track,//' $untrusted TestUnfinishedHeadsAtReadiness
+mutant uploads-not-counted wharf/transport/wharfbody/reader.go \
+	's/if err := a\.memory\.Grow\(ctx, int64\(cap\(a\.data\)\)\+size\); err != nil/if err := a.memory.Grow(ctx, 1); err != nil/' $untrusted TestGatewayUploadsThatStopShort
 
 exit $failed
--- a/wagtailwharfd/main.go
+++ b/wagtailwharfd/main.go
@@ -96,6 +96,11 @@
 		return printValid(c)
 	}
 	setUpLogging(logs, settings.LogLevel, settings.Host, settings.Zone)
+	if settings.MemoryMB > 0 {
+		limitMemory(settings.MemoryMB)
+	} else {
+		collectBeyond(settings.BodyMemory())
+	}
 	daemon, err := wharfdaemon.New(settings, tokens, nil)
 	if err != nil {
 		return trace.Wrap(err)
--- a/wagtailwharfd/process.go
+++ b/wagtailwharfd/process.go
@@ -27,6 +27,15 @@
 	debug.SetGCPercent(gcPercent)
 }
 
+// ownMemory is what a daemon of our own interface needs beside the bodies of callers.
+const ownMemory = 48 << 20
+
+// collectBeyond makes the garbage collector work harder beyond what the process needs at most with the given memory for
+// bodies. A process without a memory limit would otherwise grow to twice that.
+func collectBeyond(bodies, reserve int64) {
+	debug.SetMemoryLimit(bodies + reserve + ownMemory)
+}
+
 // reloadOnSignal reloads the settings on each SIGHUP until ctx is done. Only the memory limit takes effect; addresses
 // and names stay fixed until the next start.
 func reloadOnSignal(ctx context.Context, path string) {
--- a/wagtailwharfd/wharfdaemon/daemon.go
+++ b/wagtailwharfd/wharfdaemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"wagtailwharf.example/wagtailwharfd/wharfservice"
 	"wagtailwharf.example/wharf/coordination/wharfbatch"
 	"wagtailwharf.example/wharf/coordination/wharfcontrol"
 	"wagtailwharf.example/wharf/coordination/wharfgate"
@@ -25,9 +26,11 @@
 	"wagtailwharf.example/wharf/protocol/wharfpeer"
 	"wagtailwharf.example/wharf/protocol/wharfsettings"
 	"wagtailwharf.example/wharf/state/wharfbudget"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfpick"
 	"wagtailwharf.example/wharf/state/wharfpoison"
 	"wagtailwharf.example/wharf/transport/wharfbatchexecutor"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 	"wagtailwharf.example/wharf/transport/wharfendpointclient"
 	"wagtailwharf.example/wharf/transport/wharfgateway"
 	"wagtailwharf.example/wharf/transport/wharfidle"
@@ -75,6 +78,7 @@
 	operators        *wharfoperator.Server
 	callers          *http.Server
 	connections      *wharfidle.Closer // of callers
+	memory           *wharfmemory.Account
 	drainRequested   chan struct{}
 	drainOnce        sync.Once
 	draining         chan struct{}
@@ -187,7 +191,12 @@
 // buildServers sets up the HTTP servers for callers and operators.
 func (d *Daemon) buildServers(tokens Tokens) {
 	limits := &d.settings.Limits
+	d.memory = wharfmemory.New(d.settings.BodyMemory())
 	d.gateway = wharfgateway.New(wharfgateway.Options{
+		Memory: d.memory,
+		Bodies: wharfbody.New(wharfbody.Options{
+			Account: d.memory, MaxTime: time.Duration(limits.BodyTimeout), MinRate: limits.BodyRate,
+		}),
 		Snapshot:     d.rollout.Snapshot,
 		LeaseHeld:    d.inForce,
 		Quota:        d.quotaClient,
@@ -223,6 +232,7 @@
 		Vars:    d.vars,
 	})
 	d.connections = wharfidle.New(func() time.Duration { return callerIdleTimeout })
+	d.connections.Bound(d.settings.MaxConnections(wharfservice.OpenFiles()), d.memory.EndStalled)
 	d.callers = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: d.connections.Track,
@@ -345,6 +355,11 @@
 		"peer-calls":     d.peerPool.Calls.Load(),
 		"batch-running":  d.runner.Running(),
 		"in-force":       d.inForce(),
+
+		"caller-connections":  d.connections.Counts(),
+		"caller-memory":       d.memory.Held(),
+		"caller-memory-limit": d.memory.Size(),
+		"slow-bodies-ended":   d.memory.Ended(),
 	}
 	if snapshot := d.rollout.Snapshot(); snapshot != nil {
 		vars["config-version"] = snapshot.Version
--- a/wagtailwharfd/wharfdaemon/serve.go
+++ b/wagtailwharfd/wharfdaemon/serve.go
@@ -4,16 +4,29 @@
 	"context"
 	"net/http"
 	"net/rpc"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 
 	"wagtailwharf.example/wagtailwharfd/wharfservice"
+	"wagtailwharf.example/wharf/transport/wharfidle"
+)
+
+const (
+	// operatorConnections is the largest number of connections of the operators' port, which load balancers and collectors of
+	// metrics ask too.
+	operatorConnections = 16
+	operatorIdleTimeout = 30 * time.Second
 )
 
 // supervisor returns the supervision tree of all services.
 func (d *Daemon) supervisor(l *listeners, server *rpc.Server) *suture.Supervisor {
+	connections := wharfidle.New(func() time.Duration { return operatorIdleTimeout })
+	connections.Bound(operatorConnections, func() bool { return false })
 	operators := &http.Server{
-		Handler: d.operators, ReadHeaderTimeout: headerTimeout, WriteTimeout: operatorWriteTimeout,
+		Handler: d.operators, ReadHeaderTimeout: headerTimeout, ReadTimeout: operatorWriteTimeout,
+		WriteTimeout: operatorWriteTimeout, IdleTimeout: operatorIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: connections.Track,
 	}
 	control := []wharfservice.Service{
 		{Name: "loop", Run: d.loop.Serve},
--- a/wharf/protocol/wharfsettings/settings.go
+++ b/wharf/protocol/wharfsettings/settings.go
@@ -28,6 +28,7 @@
 	Operators netip.AddrPort `toml:"operators"`
 	Platform  string         `toml:"platform"`
 	LogLevel  int            `toml:"log-level"`
+	MemoryMB  int64          `toml:"memory-mb"` // memory limit of the process in MB (2^20 bytes), 0 for none
 	Lease     Lease          `toml:"lease"`
 	Secrets   Secrets        `toml:"secrets"`
 	Signing   Signing        `toml:"signing"`
@@ -114,6 +115,9 @@
 	FirstByteTimeout Duration `toml:"first-byte"`
 	IdleTimeout      Duration `toml:"idle"`
 	BodyTimeout      Duration `toml:"body-time"`
+	BodyRate         int64    `toml:"body-rate"`       // least bytes per second of a body
+	MaxOpenFiles     int      `toml:"max-open-files"`  // of the process; 0 for what the system allows it
+	MaxConnections   int      `toml:"max-connections"` // of callers; 0 for two thirds of MaxOpenFiles
 	MaxAttempts      int      `toml:"attempts"`
 	RetryShare       float64  `toml:"retry-share"`
 }
@@ -150,6 +154,7 @@
 			FirstByteTimeout: Duration(60 * time.Second),
 			IdleTimeout:      Duration(15 * time.Second),
 			BodyTimeout:      Duration(30 * time.Second),
+			BodyRate:         defaultBodyRate,
 			MaxAttempts:      3,
 			RetryShare:       0.1,
 		},
@@ -159,6 +164,34 @@
 	}
 }
 
+const (
+	// defaultBodyRate is below the rate of any link that is of use.
+	defaultBodyRate = 1 << 10
+	// uploadShare and bodyShare are the numbers of input files and of other bodies of the largest size that callers may have
+	// in memory together: a file and the chunks that are stored take twice its size.
+	uploadShare = 2
+	bodyShare   = 4
+	// smallBodyReserve is the memory for small bodies beside that.
+	smallBodyReserve = 4 << 20
+)
+
+// BodyMemory returns the bytes that callers' bodies may hold together, and the reserve for small ones beside them.
+func (s *Settings) BodyMemory() (size, reserve int64) {
+	return uploadShare*s.Limits.MaxUploadBytes + bodyShare*s.Limits.MaxBodyBytes, smallBodyReserve
+}
+
+// MaxConnections returns the largest number of callers' connections for a process that may open openFiles descriptors. A
+// third of them is left for endpoints, other hosts, the platform and files.
+func (s *Settings) MaxConnections(openFiles int) int {
+	if s.Limits.MaxConnections > 0 {
+		return s.Limits.MaxConnections
+	}
+	if s.Limits.MaxOpenFiles > 0 {
+		openFiles = min(openFiles, s.Limits.MaxOpenFiles)
+	}
+	return openFiles * 2 / 3
+}
+
 // Read reads and validates a settings file.
 func Read(path string) (Settings, error) {
 	return ReadInto(path, Default(), (*Settings).Validate)
@@ -245,10 +278,20 @@
 	require(s.Drain.Grace >= 0 && s.Drain.Limit > 0, "drain.grace must not be negative and drain.limit must be above 0")
 }
 
+// minOpenFiles is the smallest number of descriptors with which a daemon can start and serve requests.
+const minOpenFiles = 64
+
 func (s *Settings) validateLimits(require func(bool, string, ...any)) {
 	const maxAttempts = 10
 	require(s.Limits.MaxBodyBytes > 0, "limits.max-body-bytes must be above 0")
 	require(s.Limits.MaxUploadBytes > 0, "limits.max-upload-bytes must be above 0")
+	require(s.Limits.BodyRate >= 0, "limits.body-rate must not be negative")
+	require(s.Limits.MaxOpenFiles == 0 || s.Limits.MaxOpenFiles >= minOpenFiles,
+		"limits.max-open-files must be at least %d, or 0", minOpenFiles)
+	require(s.Limits.MaxConnections >= 0, "limits.max-connections must not be negative")
+	size, reserve := s.BodyMemory()
+	require(s.MemoryMB == 0 || s.MemoryMB<<20 >= 2*(size+reserve),
+		"memory-mb must be at least %d for these limits of bodies and input files, or 0", (2*(size+reserve)+1<<20-1)>>20)
 	require(s.Limits.MaxAttempts >= 1 && s.Limits.MaxAttempts <= maxAttempts, "limits.attempts must be from 1 to %d",
 		maxAttempts)
 	require(s.Limits.RetryShare >= 0 && s.Limits.RetryShare <= 1, "limits.retry-share must be from 0 to 1")
--- a/wharf/protocol/wharfsettings/settings_test.go
+++ b/wharf/protocol/wharfsettings/settings_test.go
@@ -57,3 +57,20 @@
 		})
 	}
 }
+
+// TestMemoryHoldsTheLargestFile guards against limits with which the largest input file or body can never be served.
+func TestMemoryHoldsTheLargestFile(t *testing.T) {
+	s := Default()
+	size, reserve := s.BodyMemory()
+	assert.Assert(t, size >= 2*s.Limits.MaxUploadBytes && size >= 2*s.Limits.MaxBodyBytes && reserve > 0)
+	assert.Equal(t, s.MaxConnections(300), 200)
+	s.Limits.MaxOpenFiles = 150
+	assert.Equal(t, s.MaxConnections(300), 100)
+	s.Limits.MaxConnections = 7
+	assert.Equal(t, s.MaxConnections(300), 7)
+	s.MemoryMB = 839
+	assert.ErrorContains(t, s.Validate(), "memory-mb must be at least 840")
+	s.Limits.BodyRate, s.Limits.MaxOpenFiles = -1, 63
+	assert.ErrorContains(t, s.Validate(), "limits.body-rate")
+	assert.ErrorContains(t, s.Validate(), "limits.max-open-files must be at least 64")
+}
--- a/wharf/transport/wharfbody/reader.go
+++ b/wharf/transport/wharfbody/reader.go
@@ -79,28 +79,38 @@
 func (b *Reader) Read(
 	ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time,
 ) (Body, error) {
-	a := &arrival{
-		reader: b, connection: http.NewResponseController(w), source: r.Body, announced: r.ContentLength, limit: limit,
-		deadline: time.Now().Add(b.options.MaxTime),
-	}
-	if deadline.Before(a.deadline) {
-		a.deadline = deadline
-	}
-	a.memory = b.options.Account.Open(a.end)
-	defer a.memory.Arrived()
 	switch {
 	case r.ContentLength == 0:
-		return Body{Memory: a.memory}, nil
+		return Body{Memory: b.options.Account.Open(nil)}, nil
 	case r.ContentLength > limit:
-		return Body{Memory: a.memory}, ErrTooLarge
+		return Body{Memory: b.options.Account.Open(nil)}, ErrTooLarge
 	}
+	if latest := time.Now().Add(b.options.MaxTime); latest.Before(deadline) {
+		deadline = latest
+	}
+	body, err := b.ReadPart(ctx, w, r, r.Body, limit, deadline)
+	if err == nil {
+		// The server goes on reading, to notice that the caller disconnects.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
+// ReadPart reads a part of a request's body from source, as Read does, whatever Options.MaxTime says.
+func (b *Reader) ReadPart(
+	ctx context.Context, w http.ResponseWriter, r *http.Request, source io.Reader, limit int64, deadline time.Time,
+) (Body, error) {
+	a := &arrival{
+		reader: b, connection: http.NewResponseController(w), source: source, announced: r.ContentLength, limit: limit,
+		deadline: deadline,
+	}
+	a.memory = b.options.Account.Open(a.end)
+	defer a.memory.Arrived()
 	stop := context.AfterFunc(ctx, a.end)
 	err := a.read(r.Context())
 	stop()
 	switch {
 	case err == nil:
-		// The server goes on reading, to notice that the caller disconnects.
-		_ = a.connection.SetReadDeadline(time.Time{})
 	case a.memory.Ended():
 		err = wharfmemory.ErrExhausted
 	case ctx.Err() != nil:
@@ -144,6 +154,8 @@
 			return ErrTooLarge
 		case errors.Is(err, io.EOF):
 			return nil
+		case errors.As(err, new(*http.MaxBytesError)):
+			return ErrTooLarge
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return ErrTooSlow
 		case err != nil:
--- a/wharf/transport/wharfgateway/batches.go
+++ b/wharf/transport/wharfgateway/batches.go
@@ -7,14 +7,17 @@
 	"fmt"
 	"io"
 	"mime/multipart"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"wagtailwharf.example/wharf/coordination/wharfjobs"
 	"wagtailwharf.example/wharf/protocol/wharfapi"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
 	"wagtailwharf.example/wharf/state/wharfjob"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 )
 
 const (
@@ -22,7 +25,7 @@
 	errorPrefix         = "file-error-"
 	defaultListLimit    = 20
 	maxListLimit        = 100
-	maxFormFieldBytes   = 1 << 20
+	maxPurposeBytes     = 1 << 10
 	uploadTimeoutFactor = 10 // an upload may take this many times BodyTimeout
 )
 
@@ -79,53 +82,81 @@
 
 // upload stores the input file of a batch.
 func (s *Server) upload(w http.ResponseWriter, r *authenticatedRequest) error {
-	clearTimeout := s.setReadTimeout(w, uploadTimeoutFactor*s.options.Limits.BodyTimeout)
-	r.Body = http.MaxBytesReader(w, r.Body, s.options.Limits.MaxUploadBytes)
+	body := r.Body
+	defer func() { r.Body = body }()
+	r.Body = http.MaxBytesReader(nil, body, s.options.Limits.MaxUploadBytes)
 	reader, err := r.MultipartReader()
 	if err != nil {
 		return wharfrefusal.New(http.StatusBadRequest, "bad-input",
 			"send the file as multipart/form-data with the fields purpose and file")
 	}
-	purpose, name, data, err := readForm(reader)
-	if err != nil {
+	form := &uploadForm{server: s, writer: w, request: r.Request, deadline: time.Now().Add(uploadTimeoutFactor * s.options.Limits.BodyTimeout)}
+	defer form.release()
+	if err := form.read(reader); err != nil {
 		return err
 	}
-	clearTimeout()
-	if purpose != "batch" || data == nil {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if form.purpose != "batch" || form.file.Memory == nil {
 		return wharfrefusal.New(http.StatusBadRequest, "bad-input", "the form needs purpose=batch and a file")
 	}
+	data := form.file.Data
 	if containsKey(r.token, data, r.Request) {
 		return errKeyInRequest
 	}
-	file, err := s.options.Jobs.Upload(r.Context(), r.organisation.Name, name, r.Header.Get(idempotencyHeader), data)
+	if err := form.file.Memory.Grow(r.Context(), storedShare*int64(len(data))); err != nil {
+		return err
+	}
+	file, err := s.options.Jobs.Upload(r.Context(), r.organisation.Name, form.name, r.Header.Get(idempotencyHeader), data)
 	if err != nil {
 		return err
 	}
 	return writeJSON(w, newFileObject(&file))
 }
 
-// readForm reads the fields of an upload; data is nil if there is no file.
-func readForm(reader *multipart.Reader) (purpose, name string, data []byte, err error) {
+// storedShare is how many times the size of an input file it and the chunks that are stored take together at most.
+const storedShare = 2
+
+// uploadForm holds the fields of an upload.
+type uploadForm struct {
+	server   *Server
+	writer   http.ResponseWriter
+	request  *http.Request
+	deadline time.Time
+	purpose  string
+	name     string
+	file     wharfbody.Body // without Memory if there is no file
+}
+
+func (f *uploadForm) release() {
+	if f.file.Memory != nil {
+		f.file.Memory.Release()
+	}
+}
+
+// read reads the fields. If there are several files, the last one counts.
+func (f *uploadForm) read(reader *multipart.Reader) error {
 	for {
 		part, err := reader.NextPart()
 		if errors.Is(err, io.EOF) {
-			return purpose, name, data, nil
+			return nil
 		}
 		if err != nil {
-			return "", "", nil, formRefusal(err)
+			return formRefusal(err)
 		}
 		switch part.FormName() {
 		case "purpose":
-			text, err := io.ReadAll(io.LimitReader(part, maxFormFieldBytes))
+			text, err := io.ReadAll(io.LimitReader(part, maxPurposeBytes))
 			if err != nil {
-				return "", "", nil, formRefusal(err)
+				return formRefusal(err)
 			}
-			purpose = string(text)
+			f.purpose = string(text)
 		case "file":
-			name = part.FileName()
-			data, err = io.ReadAll(part)
+			f.release()
+			f.name = part.FileName()
+			f.file, err = f.server.options.Bodies.ReadPart(
+				f.request.Context(), f.writer, f.request, part, f.server.options.Limits.MaxUploadBytes, f.deadline)
 			if err != nil {
-				return "", "", nil, formRefusal(err)
+				return bodyRefusal(err)
 			}
 		}
 	}
@@ -189,28 +220,49 @@
 // content returns the lines of a file.
 func (s *Server) content(w http.ResponseWriter, r *authenticatedRequest) error {
 	id := r.PathValue("id")
-	var data bytes.Buffer
+	memory := s.options.Memory.Open(nil)
+	defer memory.Release()
+	data := &countedBuffer{grow: func(size int64) error { return memory.Grow(r.Context(), size) }}
 	if jobID, failed, ok := parseResultsFileID(id); ok {
-		if err := s.options.Jobs.Results(r.Context(), r.organisation.Name, jobID, failed, &data); err != nil {
+		if err := s.options.Jobs.Results(r.Context(), r.organisation.Name, jobID, failed, data); err != nil {
 			return err
 		}
-		return writeJSONLines(w, &data)
+		return s.writeJSONLines(w, data)
 	}
 	file, err := s.options.Jobs.File(r.Context(), r.organisation.Name, id)
 	if err != nil {
 		return err
 	}
-	if err := s.options.Jobs.Content(r.Context(), file, &data); err != nil {
+	if err := s.options.Jobs.Content(r.Context(), file, data); err != nil {
 		return err
 	}
-	return writeJSONLines(w, &data)
+	return s.writeJSONLines(w, data)
+}
+
+// countedBuffer holds parts of a response whose memory is reserved.
+type countedBuffer struct {
+	grow  func(size int64) error
+	parts net.Buffers
+	size  int64
+}
+
+// Write keeps a copy of data, or returns the error of grow.
+func (b *countedBuffer) Write(data []byte) (int, error) {
+	b.size += int64(len(data))
+	if err := b.grow(b.size); err != nil {
+		return 0, err
+	}
+	b.parts = append(b.parts, bytes.Clone(data))
+	return len(data), nil
 }
 
-// writeJSONLines responds with lines that are all in memory, so that a failing store cannot truncate the response.
-func writeJSONLines(w http.ResponseWriter, data *bytes.Buffer) error {
+// writeJSONLines responds with lines that are all in memory, so that a failing store cannot truncate the response. A caller
+// that does not read them is cut off.
+func (s *Server) writeJSONLines(w http.ResponseWriter, data *countedBuffer) error {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(uploadTimeoutFactor * s.options.Limits.BodyTimeout))
 	w.Header().Set("Content-Type", "application/jsonl")
-	w.Header().Set("Content-Length", fmt.Sprint(data.Len()))
-	_, _ = data.WriteTo(w)
+	w.Header().Set("Content-Length", fmt.Sprint(data.size))
+	_, _ = data.parts.WriteTo(w)
 	return nil
 }
 
@@ -219,8 +271,9 @@
 	if err != nil {
 		return err
 	}
+	defer body.Memory.Release()
 	var request batchRequest
-	if err := json.Unmarshal(body, &request); err != nil {
+	if err := json.Unmarshal(body.Data, &request); err != nil {
 		return fmt.Errorf("%w: %v", wharfapi.ErrMalformed, err)
 	}
 	job, err := s.options.Jobs.Submit(r.Context(), wharfjobs.Request{
--- a/wharf/transport/wharfgateway/generate.go
+++ b/wharf/transport/wharfgateway/generate.go
@@ -35,10 +35,12 @@
 
 // generate serves a completion or chat completion request.
 func (s *Server) generate(w http.ResponseWriter, r *authenticatedRequest) error {
-	body, err := s.readBody(w, r.Request, r.token)
+	received, err := s.readBody(w, r.Request, r.token)
 	if err != nil {
 		return err
 	}
+	defer received.Memory.Release()
+	body := received.Data
 	parsed, err := wharfapi.ParseGeneration(body)
 	if err != nil {
 		return err
--- a/wharf/transport/wharfgateway/refusals.go
+++ b/wharf/transport/wharfgateway/refusals.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -17,8 +16,10 @@
 	"wagtailwharf.example/wharf/coordination/wharfonce"
 	"wagtailwharf.example/wharf/protocol/wharfapi"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfpick"
 	"wagtailwharf.example/wharf/state/wharfrow"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 	"wagtailwharf.example/wharf/transport/wharfendpointclient"
 )
 
@@ -37,6 +38,10 @@
 		"the organisation's rate can not be checked at present; try again")
 	errTooLarge = wharfrefusal.New(http.StatusRequestEntityTooLarge, "too-large",
 		"the request is larger than this deployment allows")
+	errNoMemory = wharfrefusal.New(http.StatusServiceUnavailable, "no-memory",
+		"this host has no memory left for the request; come back later")
+	errTooSlow = wharfrefusal.New(http.StatusRequestTimeout, "too-slow",
+		"the request's body arrives more slowly than this host allows")
 	errNoEndpoint = wharfrefusal.New(http.StatusServiceUnavailable, "no-endpoint",
 		"no endpoint of this service works at present; try again")
 	errBusy = wharfrefusal.New(http.StatusServiceUnavailable, "busy",
@@ -82,6 +87,8 @@
 		return errPlatform.WithRetryAfter(time.Second)
 	case errors.Is(err, wharfrow.ErrUnknown):
 		return errOutcomeUnknown.WithRetryAfter(time.Second)
+	case errors.Is(err, wharfmemory.ErrExhausted):
+		return errNoMemory.WithRetryAfter(time.Second)
 	case errors.Is(err, ErrKeyRevoked):
 		return errKeyRevoked
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
@@ -122,24 +129,36 @@
 	return token, nil
 }
 
-// readBody reads a body within the limits of size and time, and refuses it if it contains the caller's key.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, token string) ([]byte, error) {
-	clearTimeout := s.setReadTimeout(w, s.options.Limits.BodyTimeout)
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.options.Limits.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, errTooLarge
-	case err != nil:
-		return nil, errCallerGone
+// readBody reads a body within the limits of memory, size and time, and refuses it if it contains the caller's key. The
+// caller of readBody must release the body's memory if there is no error.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, token string) (wharfbody.Body, error) {
+	limits := &s.options.Limits
+	body, err := s.options.Bodies.Read(r.Context(), w, r, limits.MaxBodyBytes, time.Now().Add(limits.BodyTimeout))
+	if err == nil && containsKey(token, body.Data, r) {
+		err = errKeyInRequest
 	}
-	clearTimeout()
-	if containsKey(token, body, r) {
-		return nil, errKeyInRequest
+	if err != nil {
+		body.Memory.Release()
+		return wharfbody.Body{}, bodyRefusal(err)
 	}
 	return body, nil
 }
 
+// bodyRefusal maps errors of a body that was not read whole to refusals.
+func bodyRefusal(err error) error {
+	switch {
+	case errors.Is(err, wharfbody.ErrTooLarge):
+		return errTooLarge
+	case errors.Is(err, wharfmemory.ErrExhausted):
+		return errNoMemory.WithRetryAfter(time.Second)
+	case errors.Is(err, wharfbody.ErrTooSlow):
+		return errTooSlow
+	case errors.Is(err, wharfbody.ErrTruncated), errors.Is(err, wharfbody.ErrGivenUp):
+		return errCallerGone
+	}
+	return err
+}
+
 // setReadTimeout limits the time to read a request. The limit must be cleared before the response is sent: net/http
 // keeps reading in the background to detect a disconnected caller, and would treat the deadline as a disconnect. The
 // limit stays if the request was not read to its end, so that the server does not wait for the rest.
--- a/wharf/transport/wharfgateway/server.go
+++ b/wharf/transport/wharfgateway/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"k8s.io/klog/v2"
 
 	"wagtailwharf.example/wharf/coordination/wharfgate"
 	"wagtailwharf.example/wharf/coordination/wharfjobs"
@@ -18,9 +19,11 @@
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
 	"wagtailwharf.example/wharf/state/wharfbudget"
 	"wagtailwharf.example/wharf/state/wharfconfig"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfpick"
 	"wagtailwharf.example/wharf/state/wharfpoison"
 	"wagtailwharf.example/wharf/state/wharfsnapshot"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 	"wagtailwharf.example/wharf/transport/wharfendpointclient"
 	"wagtailwharf.example/wharf/transport/wharfmetrics"
 )
@@ -55,6 +58,8 @@
 	Budget       *wharfbudget.Budget
 	Metrics      *wharfmetrics.Metrics
 	Limits       Limits
+	Bodies       *wharfbody.Reader
+	Memory       *wharfmemory.Account // for bodies, input files and their results
 }
 
 // Server is the HTTP handler of the callers' interface.
@@ -91,7 +96,7 @@
 	s.mux.HandleFunc("POST /v1/batches/{id}/cancel", s.handle(s.cancel))
 	s.mux.HandleFunc("/services/{name}/{path...}", s.serveService)
 	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		wharfrefusal.New(http.StatusNotFound, "unknown-path", "there is nothing at "+r.URL.Path).Write(w)
+		s.refuse(w, r, wharfrefusal.New(http.StatusNotFound, "unknown-path", "there is nothing at "+r.URL.Path))
 	})
 	return s
 }
@@ -101,8 +106,11 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.options.Limits.BodyTimeout))
+	}
 	if s.stopping.Load() {
-		s.refuse(w, errStopping)
+		s.refuse(w, r, errStopping)
 		return
 	}
 	s.mux.ServeHTTP(w, r)
@@ -150,15 +158,25 @@
 			err = next(w, request)
 		}
 		if err != nil {
-			s.refuse(w, err)
+			s.refuse(w, r, err)
 		}
 	}
 }
 
-func (s *Server) refuse(w http.ResponseWriter, err error) {
+// refuse responds with a refusal and counts it. It reads only as much of the request's body as the caller needs to read the
+// refusal.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err error) {
 	refusal := refusalOf(err)
 	s.options.Metrics.Count("refused/" + refusal.Code)
+	if refusal.Code == errNoMemory.Code || refusal.Code == errTooSlow.Code {
+		klog.InfoS("request refused", "path", r.URL.Path, "status", refusal.Status, "code", refusal.Code,
+			"memory", s.options.Memory.Held(), "memory-limit", s.options.Memory.Size())
+	}
+	settled := s.options.Bodies.Settle(w, r)
 	refusal.Write(w)
+	if !settled {
+		s.options.Bodies.Linger(w, r)
+	}
 }
 
 // authenticate checks the key and this host's lease, and registers the request so that revoking the key cancels it.
--- a/wharf/transport/wharfgateway/services.go
+++ b/wharf/transport/wharfgateway/services.go
@@ -60,13 +60,13 @@
 func (s *Server) serveService(w http.ResponseWriter, r *http.Request) {
 	snapshot := s.options.Snapshot()
 	if snapshot == nil {
-		s.refuse(w, errFenced.WithRetryAfter(time.Second))
+		s.refuse(w, r, errFenced.WithRetryAfter(time.Second))
 		return
 	}
 	service := snapshot.Services[r.PathValue("name")]
 	path := "/" + r.PathValue("path")
 	if service == nil || service.Kind != wharfconfig.KindPlain || service.Route(path) == nil {
-		s.refuse(w, errNoRoute)
+		s.refuse(w, r, errNoRoute)
 		return
 	}
 	c := &serviceCall{
@@ -99,7 +99,7 @@
 	c.id = uuid.NewString()
 	w.Header().Set(wharfapi.RequestIDHeader, c.id)
 	if err := c.run(w, r, token); err != nil {
-		s.refuse(w, err)
+		s.refuse(w, r, err)
 	}
 }
 
@@ -109,8 +109,9 @@
 	if err != nil {
 		return err
 	}
+	defer body.Memory.Release()
 	c.request = r
-	c.body = body
+	c.body = body.Data
 	if !c.route.Repeatable && r.Header.Get(idempotencyHeader) != "" {
 		return c.runIdempotent(w)
 	}
