--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -152,7 +152,7 @@
 mutant any-late-answer-taken wharf/transport/wharfforwarder/forwarder.go \
 	's/return !a\.conn\.Reused/return true/' ./wharf/transport/wharfforwarder TestLateResponseWithoutIDIsNotTaken
 mutant slow-readers-kept wharf/transport/wharffrontend/server.go \
-	's/err := connection\.SetWriteDeadline\(deadline\)/var err error/' ./wagtailwharfd/wharfhost TestCallerThatDoesNotReadIsDropped
+	's/SetWriteDeadline\(deadline\)/SetWriteDeadline(deadline.Add(time.Hour))/' ./wagtailwharfd/wharfhost TestCallerThatDoesNotReadIsDropped
 
 host=./wagtailwharfd/wharfhost
 mutant parts-not-counted wharf/state/wharfcrash/request.go \
@@ -282,5 +282,18 @@
 	's/d\.options\.OnWritten\(ids, d\.lastPoll\)/d.options.OnWritten(ids, time.Now())/' ./wharf/coordination/wharfdirectory TestWrittenRegistrations
 mutant cold-view-for-each-row wharf/coordination/wharfdirectory/cold.go \
 	's/sameIncarnation && !until\.After\(before\.coldUntil\)/false/' ./wharf/coordination/wharfdirectory TestRewrittenRegistrations
+untrusted=./wharf-load/wharfuntrusted
+mutant memory-not-counted wharf/state/wharfmemory/account.go \
+	's/semaphore\.NewWeighted\(size\)/semaphore.NewWeighted(1 << 40)/' $untrusted TestAnnouncedBodiesThatStopShort
+mutant stalled-bodies-kept wharf/state/wharfmemory/account.go \
+	's/now\.Sub\(r\.markedAt\) >= stallTime/now.IsZero()/' ./wharf/state/wharfmemory TestStalledBodiesGiveWay
+mutant slow-bodies-read wharf/transport/wharfbody/reader.go \
+	's/SetReadDeadline\(windowEnd\)/SetReadDeadline(time.Time{})/' ./wharf/transport/wharfbody TestBodiesEndAtTheirBounds
+mutant connections-not-bounded wharf/transport/wharfidle/closer.go \
+	's/if c\.most == 0 \|\| /if true || /' $untrusted TestIdleConnectionsOfCallers
+mutant side-ports-not-bounded wagtailwharfd/wharfservice/side.go \
+	's/MaxHeaderBytes: sideHeaderBytes, ConnState: connections\.Track,//' $untrusted TestUnfinishedHeadsAtReadiness
+mutant uploads-not-counted wharf/transport/wharfbody/reader.go \
+	's/if err := a\.memory\.Grow\(ctx, int64\(cap\(a\.data\)\)\+size\); err != nil/if err := a.memory.Grow(ctx, 1); err != nil/' $untrusted TestGatewayUploadsThatStopShort
 
 exit $failed
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -14,6 +14,7 @@
 	"wagtailwharf.example/platform/wharfcatalog"
 	"wagtailwharf.example/platform/wharfstoreclient"
 	"wagtailwharf.example/platform/wharfwire"
+	"wagtailwharf.example/wagtailwharfd/wharfservice"
 	"wagtailwharf.example/wharf/coordination/wharfallocator"
 	"wagtailwharf.example/wharf/coordination/wharfblocklist"
 	"wagtailwharf.example/wharf/coordination/wharfdirectory"
@@ -31,8 +32,10 @@
 	"wagtailwharf.example/wharf/state/wharfcrash"
 	"wagtailwharf.example/wharf/state/wharfevacuation"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfpace"
 	"wagtailwharf.example/wharf/state/wharfroute"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 	"wagtailwharf.example/wharf/transport/wharfdialer"
 	"wagtailwharf.example/wharf/transport/wharfforwarder"
 	"wagtailwharf.example/wharf/transport/wharffrontend"
@@ -72,6 +75,7 @@
 	metrics        *wharfmetrics.Metrics
 	callers        *http.Server
 	connections    *wharfidle.Closer // of callers
+	memory         *wharfmemory.Account
 	membership     membership
 	evacuations    *wharfevacuation.Set // of the latest view; used by onViewChange only
 	turnedWarm     atomic.Bool          // a cold endpoint is warm again since registrations were last taken note of
@@ -180,6 +184,7 @@
 		Regions:     h.settings.Regions(),
 		Retention:   time.Duration(h.settings.Jobs.Retention),
 	})
+	h.memory = wharfmemory.New(h.settings.BodyMemory())
 	h.frontend = wharffrontend.New(wharffrontend.Options{
 		Dialect:          wharfwire.New(),
 		Table:            h.table,
@@ -196,11 +201,16 @@
 		Jobs:             h.jobs,
 		Metrics:          h.metrics,
 		Paces:            h.paces,
-		ReportCrash:      h.reportCrash,
-		ReportAnswer:     h.reportAnswer,
-		TryBlocked:       h.tryBlocked,
+		Memory:           h.memory,
+		Bodies: wharfbody.New(wharfbody.Options{
+			Account: h.memory, MaxTime: time.Duration(h.settings.Limits.BodyTime), MinRate: h.settings.Limits.BodyRate,
+		}),
+		ReportCrash:  h.reportCrash,
+		ReportAnswer: h.reportAnswer,
+		TryBlocked:   h.tryBlocked,
 	})
 	h.connections = wharfidle.New(h.callerIdleTimeout)
+	h.connections.Bound(h.settings.MaxConnections(wharfservice.OpenFiles()), h.memory.EndStalled)
 	h.callers = &http.Server{
 		Handler:           h.frontend,
 		ReadHeaderTimeout: headerTimeout,
@@ -225,7 +235,7 @@
 	// headerTimeout bounds the time to read a request header and maxHeaderBytes its size. Both exceed the limits that a
 	// configuration may set.
 	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 32 << 10
 	// defaultIdleTimeout is the idle timeout of caller connections if the configuration sets none.
 	defaultIdleTimeout = 60 * time.Second
 )
