--- a/wagtailwharf/config/check/check_test.go
+++ b/wagtailwharf/config/check/check_test.go
@@ -147,7 +147,7 @@
 		`:6: error: route "talk": no request reaches it: route "chat" has the same host and prefix`,
 		`:6: error: route "talk": service "gone" does not exist`,
 		`:18: error: key "` + shared + `": organisations "tema" and "accra" hold the same key`,
-		`: error: configuration: version 7 is not newer than 7`,
+		`:2: error: configuration: version 7 is not newer than 7`,
 		`:4: warning: route "chat": objective 300ms is longer than the timeout 200ms`,
 		`:6: warning: route "talk": unknown kind "odd"`,
 		`:10: warning: service "assist": limit for cold endpoints without the time that they are cold`,
--- a/wharf/state/wharfaudit/audit_test.go
+++ b/wharf/state/wharfaudit/audit_test.go
@@ -57,9 +57,24 @@
 	assert.Equal(t, texts(Differences(newDocument(), newDocument())), "")
 }
 
-// TestConfiguration guards against problems that are not reported, reported at another place, or reported by several checks.
-func TestConfiguration(t *testing.T) {
-	for want, edit := range map[string]func(document, configuration){
+// checkFindings applies each edit to a document without findings, and checks that this gives one finding, which begins with
+// the edit's key.
+func checkFindings(t *testing.T, edits map[string]func(document, configuration)) {
+	t.Helper()
+	for want, edit := range edits {
+		t.Run(want, func(t *testing.T) {
+			d := newDocument()
+			edit(d, &d.Configuration)
+			findings := Configuration(d)
+			assert.Equal(t, len(findings), 1, texts(findings))
+			assert.Assert(t, strings.HasPrefix(texts(findings), want), texts(findings))
+		})
+	}
+}
+
+// TestRoutes guards against problems of routes that are not reported, reported at another place, or reported by several checks.
+func TestRoutes(t *testing.T) {
+	checkFindings(t, map[string]func(document, configuration){
 		`error 3 route: no request reaches it: route "chat" has the same host and prefix`: func(_ document, c configuration) {
 			c.Routes[2].Host = "h"
 		},
@@ -85,7 +100,15 @@
 		`warning 1 route: completion target has no effect`: func(_ document, c configuration) {
 			c.Routes[0].CompletionTarget = time.Second
 		},
-		`warning 1 route: limit of waiting tokens has no effect`:      func(_ document, c configuration) { c.Routes[0].MaxWaitingTokens = 1 },
+		`warning 1 route: limit of waiting tokens has no effect`: func(_ document, c configuration) { c.Routes[0].MaxWaitingTokens = 1 },
+		`error 2 route: maximum number of attempts -1`:           func(_ document, c configuration) { c.Routes[1].MaxAttempts = -1 },
+		`warning 1 route: service "new" is listed twice`: func(_ document, c configuration) {
+			c.Routes[0].Targets = append(c.Routes[0].Targets, c.Routes[0].Targets[1])
+		},
+		`warning 1 route: gap objective 6s is longer than`: func(_ document, c configuration) { c.Routes[0].GapObjective = 6 * time.Second },
+		`warning 1 route: reason`: func(d document, _ configuration) {
+			d.Unused = []wharfroute.UnusedValue{{Kind: KindRoute, Line: 1, Reason: "reason"}}
+		},
 		`warning 3 route: batch route without completion target`:      func(_ document, c configuration) { c.Routes[2].CompletionTarget = 0 },
 		`warning 3 route: batch route without maximum wait`:           func(_ document, c configuration) { c.Routes[2].MaxWait = 0 },
 		`warning 2 route: 2 attempts have no effect`:                  func(_ document, c configuration) { c.Routes[1].MaxAttempts = 2 },
@@ -97,6 +120,12 @@
 			c.Routes[2].CompletionTarget = 2 * time.Minute
 		},
 		`warning 2 route: refuses organisation "o": no allowed region`: func(_ document, c configuration) { c.Routes[1].AllowedRegions = []string{"a"} },
+	})
+}
+
+// TestOtherEntries guards against the same for services, organisations, keys and limits.
+func TestOtherEntries(t *testing.T) {
+	checkFindings(t, map[string]func(document, configuration){
 		`warning 4 service: limit for cold endpoints without the time`: func(_ document, c configuration) { c.Services[0].ColdStart = 0 },
 		`warning 0 service: no route uses it`: func(_ document, c configuration) {
 			c.Services = append(c.Services, wharfroute.Service{Name: "idle"})
@@ -104,9 +133,21 @@
 		`warning 6 organisation: burst 0.5 of rate 10 is below 1`: func(_ document, c configuration) { c.Organisations[0].Burst = 0.5 },
 		`warning 7 organisation: burst 5 has no effect: no rate`:  func(_ document, c configuration) { c.Organisations[1].Burst = 5 },
 		`error 6 organisation: rate -1 is negative`:               func(_ document, c configuration) { c.Organisations[0].Rate = -1 },
-		`warning 7 organisation: has no key`:                      func(d document, _ configuration) { d.Keys = d.Keys[:1] },
-		`error 7 key: organisations "o" and "p" hold the same`:    func(d document, _ configuration) { d.Keys[1].Text = "k" },
-		`error 7 key: empty key: callers without a key are`:       func(d document, _ configuration) { d.Keys[1].Text = "" },
+		`error 7 organisation: burst -1 is negative`:              func(_ document, c configuration) { c.Organisations[1].Burst = -1 },
+		`error 5 service: maximum number of connections -1`:       func(_ document, c configuration) { c.Services[1].MaxConnections = -1 },
+		`error 0 service: an earlier service has the same name`: func(_ document, c configuration) {
+			c.Services = append(c.Services, c.Services[1])
+		},
+		`error 0 organisation: an earlier organisation has`: func(_ document, c configuration) {
+			c.Organisations = append(c.Organisations, c.Organisations[1])
+		},
+		`error 2 route: has no name`: func(_ document, c configuration) { c.Routes[1].Name = "" },
+		`warning 9 key: organisation "o" lists it twice`: func(d document, _ configuration) {
+			d.Keys = append(d.Keys, wharfroute.DocumentKey{Text: "k", Organisation: "o", Line: 9})
+		},
+		`warning 7 organisation: has no key`:                   func(d document, _ configuration) { d.Keys = d.Keys[:1] },
+		`error 7 key: organisations "o" and "p" hold the same`: func(d document, _ configuration) { d.Keys[1].Text = "k" },
+		`error 7 key: empty key: callers without a key are`:    func(d document, _ configuration) { d.Keys[1].Text = "" },
 		`error 9 key: organisation "q" does not exist`: func(d document, _ configuration) {
 			d.Keys = append(d.Keys, wharfroute.DocumentKey{Text: "m", Organisation: "q", Line: 9})
 		},
@@ -116,15 +157,7 @@
 		`warning 8 limits: header limit of 16384 bytes is`: func(_ document, c configuration) {
 			c.Limits.BodyBytes = 100
 		},
-	} {
-		t.Run(want, func(t *testing.T) {
-			d := newDocument()
-			edit(d, &d.Configuration)
-			findings := Configuration(d)
-			assert.Equal(t, len(findings), 1, texts(findings))
-			assert.Assert(t, strings.HasPrefix(texts(findings), want), texts(findings))
-		})
-	}
+	})
 }
 
 // TestKeysWithoutUse guards against organisations whose rates are never in force because all routes are open.
--- a/wharf/state/wharfaudit/differences.go
+++ b/wharf/state/wharfaudit/differences.go
@@ -36,7 +36,7 @@
 	compare(a, Warning, heldKeys(inForce), heldKeys(d),
 		func(k *heldKey, _ int) entry { return entry{KindKey, k.Name, k.line} })
 	a.compareFields(entry{kind: KindLimits, line: d.LimitsLine}, &before.Limits, &after.Limits)
-	e := entry{kind: KindConfiguration}
+	e := entry{kind: KindConfiguration, line: d.VersionLine}
 	switch {
 	case after.Version > before.Version:
 		a.add(Difference, e, "version %d, was %d", after.Version, before.Version)
--- a/wharf/state/wharfroute/document.go
+++ b/wharf/state/wharfroute/document.go
@@ -4,6 +4,7 @@
 // an unknown line.
 type Document struct {
 	Configuration     Configuration
+	VersionLine       int
 	RouteLines        []int // by position in Configuration.Routes
 	ServiceLines      []int
 	OrganisationLines []int
