--- a/wharf-load/wharfsoak/evacuation_faults.go
+++ b/wharf-load/wharfsoak/evacuation_faults.go
@@ -20,6 +20,11 @@
 	evacuationAgain = time.Second
 	// In this share of the evacuations, the request is cancelled and made again half-way.
 	evacuationAgainShare = 0.3
+	// In this share of them, the event's host is suspended from before the request until evacuationLimit after it. Once it
+	// goes on, it must not send by what it knew before.
+	evacuationFrozenShare = 0.4
+	// freezeLead is the time from the suspension to the request.
+	freezeLead = 200 * time.Millisecond
 )
 
 // evacuationFaults maps kinds to evacuations of zones.
@@ -29,13 +34,25 @@
 
 // evacuations records when each zone was evacuated.
 type evacuations struct {
-	mu    sync.Mutex
-	spans map[string][]span // by zone, from the store's reply until its end was requested
+	mu     sync.Mutex
+	spans  map[string][]span // by zone, from the store's reply until its end was requested
+	frozen []frozenHost
+}
+
+// frozenHost is a host that was suspended when the evacuation of a zone began.
+type frozenHost struct {
+	host *host
+	zone string
+	span span // from the end of the suspension to that of the evacuation
 }
 
 // evacuate evacuates the zone of an endpoint for the event's duration after evacuationLimit, unless another event does.
 func (s *system) evacuate(ctx context.Context, e faultEvent) {
 	zone := zoneOf(e.endpoint)
+	if e.variant >= 1-evacuationFrozenShare {
+		s.evacuateFrozen(ctx, e, zone)
+		return
+	}
 	if !s.startEvacuation(zone) {
 		return
 	}
@@ -51,6 +68,25 @@
 	s.endEvacuation(zone)
 }
 
+// evacuateFrozen evacuates a zone while a host is suspended.
+func (s *system) evacuateFrozen(ctx context.Context, e faultEvent, zone string) {
+	h := s.hosts[e.host]
+	var frozen sync.WaitGroup
+	frozen.Go(func() { s.pauseHost(ctx, h, freezeLead+evacuationLimit) })
+	wharfpause.For(ctx, freezeLead)
+	started := s.startEvacuation(zone)
+	frozen.Wait()
+	from := time.Now()
+	if !started {
+		return
+	}
+	wharfpause.For(ctx, e.duration)
+	s.evacuations.mu.Lock()
+	s.evacuations.frozen = append(s.evacuations.frozen, frozenHost{host: h, zone: zone, span: span{from: from, to: time.Now()}})
+	s.evacuations.mu.Unlock()
+	s.endEvacuation(zone)
+}
+
 // startEvacuation requests a zone's evacuation and reports whether it was not in force.
 func (s *system) startEvacuation(zone string) bool {
 	v := &s.evacuations
@@ -112,6 +148,7 @@
 				if t.system.evacuatedFor(instance.Zone, run.At) {
 					t.checkEvacuatedRun(senders[run.ID], instance.Zone, run)
 				}
+				t.checkFrozenHosts(senders[run.ID], instance.Zone, run)
 			}
 		}
 	}
@@ -135,3 +172,19 @@
 	}
 	t.system.findings.add("%s began at %s though %s is evacuated, sent by %s", run.ID, run.Endpoint, zone, name)
 }
+
+// checkFrozenHosts adds a finding about a run that a host sent to an evacuated zone after it had been suspended during the
+// change, unless it had another fault or the store had one.
+func (t *traffic) checkFrozenHosts(sender *host, zone string, run wharfstandin.Run) {
+	for _, f := range t.system.evacuations.frozen {
+		if f.host != sender || f.zone != zone || !run.At.After(f.span.from) || run.At.After(f.span.to) {
+			continue
+		}
+		from := f.span.from.Add(-evacuationLimit)
+		if t.system.storeFaults.overlaps(from, run.At) || sender.faults.count(from, run.At) > 1 {
+			continue
+		}
+		t.system.findings.add("%s began at %s, sent by %s %v after its suspension, during which %s was evacuated", run.ID, run.Endpoint,
+			sender.name, run.At.Sub(f.span.from).Round(time.Millisecond), zone)
+	}
+}
--- a/wharf-load/wharfsoak/spans.go
+++ b/wharf-load/wharfsoak/spans.go
@@ -31,12 +31,18 @@
 
 // overlaps reports whether a fault was present at any moment between two times.
 func (f *faultSpans) overlaps(from, to time.Time) bool {
+	return f.count(from, to) > 0
+}
+
+// count returns the number of faults that were present at any moment between two times.
+func (f *faultSpans) count(from, to time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	count := 0
 	for _, s := range f.spans {
 		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
