--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -253,5 +253,14 @@
 mutant items-unchecked wharf/transport/wharffrontend/jobs.go 's/range items \{\n\t\tif err := items\[i\]/range items[:0] {\n\t\tif err := items[i]/' $host TestItemCannotHold
 mutant requests-unchecked wharf/transport/wharfhttpconn/conn.go 's/wharfcall\.ValidTarget\(r\.Target\)/wharfcall.ValidTarget("\/")/' \
 	./wharf/transport/wharfhttpconn FuzzSend
+fleet=./wharf/state/wharffleet
+directory=./wharf/coordination/wharfdirectory
+evacuation=wharf/state/wharffleet/evacuation.go
+mutant evacuations-ignored $evacuation 's/!e\.leaves\(\) && !f\.evacuations\.Includes\(e\.Zone\)/!e.leaves()/' $fleet TestEvacuatedEndpoints
+mutant grants-on-the-way-sent $evacuation 's/p\.fleet\.current\(\) && !p\.fleet\.evacuations\.Includes\(p\.entry\.Zone\)/p.fleet.current()/' $fleet TestRequestsOnTheirWay
+mutant snapshots-without-set wharf/coordination/wharfdirectory/directory.go 's/\|\| s\.Evacuations == nil //' $directory 'TestOlderBuilds|TestNotReady'
+mutant polls-across-suspensions wharf/coordination/wharfdirectory/current.go 's/if took > maxPollTime \{/if took < 0 {/' $directory TestHostIsNotCurrent
+mutant regions-ignored wharf/state/wharfregion/map.go 's/region != "" && slices\.Contains\(regions, region\)/region != "" || len(slices.Clone(regions)) >= 0/' \
+	./wharf/coordination/wharfallocator TestRequestsStayInTheirRegions
 
 exit $failed
