wharfdirectory: ask peers that look as new for the last row before an outage

Hosts tell each other the older version of the configuration and the endpoints. A peer that had read an evacuation right before the store was lost, but no newer endpoints, was never asked. Now each host also asks, ten times in an outage, a peer of any zone that looks as new.

Before: TestEvacuationsFromPeersThatDoNotLookNewer: evacuation_test.go:171: assertion failed: (string) != a (string)

--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -337,9 +337,14 @@
 // errNoSnapshotPeer is returned if no peer has newer data from the store.
 var errNoSnapshotPeer = errors.New("no peer has newer data from the store")
 
-// fetchSnapshot fetches a snapshot of the configuration and the endpoints from a peer with newer data from the store.
-func (h *Host) fetchSnapshot(ctx context.Context) (wharfdirectory.Snapshot, error) {
-	p, found := pickSnapshotPeer(h.gossip.Peers(), h.settings.Zone, h.directory.SyncedVersion())
+// fetchSnapshot fetches a snapshot of the configuration and the endpoints from a peer with newer data from the store or, with
+// orEqual, from one of any zone with data as new.
+func (h *Host) fetchSnapshot(ctx context.Context, orEqual bool) (wharfdirectory.Snapshot, error) {
+	zone, known := h.settings.Zone, h.directory.SyncedVersion()
+	p, found := pickSnapshotPeer(h.gossip.Peers(), zone, known)
+	if !found && orEqual && known > 0 {
+		p, found = pickSnapshotPeer(h.gossip.Peers(), "", known-1)
+	}
 	if !found {
 		return wharfdirectory.Snapshot{}, errNoSnapshotPeer
 	}
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -43,14 +43,18 @@
 	outageThreshold = 1800 * time.Millisecond
 	// peerSyncInterval is the time between two requests to peers.
 	peerSyncInterval = 400 * time.Millisecond
+	// maxEqualSyncs is the number of requests in an outage to peers that know as much by the one version that hosts tell each
+	// other, the older one of both tables: they may know more of one table, such as the last row before the outage. Word of it
+	// reaches nearly all hosts of a large fleet by as many requests of each.
+	maxEqualSyncs = 10
 )
 
 // Options configures a Directory.
 type Options struct {
 	Store   wharfrecords.Store
 	Decoder Decoder
-	// FetchSnapshot returns the snapshot of a peer that has heard from the store more recently.
-	FetchSnapshot func(ctx context.Context) (Snapshot, error)
+	// FetchSnapshot returns the snapshot of a peer that has heard from the store more recently or, with orEqual, as recently.
+	FetchSnapshot func(ctx context.Context, orEqual bool) (Snapshot, error)
 	// OnChange is called with each new view. Calls never overlap.
 	OnChange func(v *View)
 }
@@ -363,15 +367,18 @@
 
 // syncFromPeers fetches snapshots from peers while the store does not answer.
 func (d *Directory) syncFromPeers(ctx context.Context) {
+	attempts := 0
 	for wharfpause.For(ctx, peerSyncInterval) {
 		d.mu.Lock()
 		stale := time.Since(d.configurationSync.confirmedAt) > configurationStaleAfter ||
 			time.Since(d.endpointSync.confirmedAt) > endpointsStaleAfter
 		d.mu.Unlock()
 		if !stale {
+			attempts = 0
 			continue
 		}
-		snapshot, err := d.options.FetchSnapshot(ctx)
+		attempts++
+		snapshot, err := d.options.FetchSnapshot(ctx, attempts%2 == 0 && attempts <= 2*maxEqualSyncs)
 		if err != nil {
 			continue // FetchSnapshot logs its errors
 		}
--- a/wharf/coordination/wharfdirectory/directory_test.go
+++ b/wharf/coordination/wharfdirectory/directory_test.go
@@ -48,6 +48,8 @@
 	store     *wharfmemorystore.Store
 	directory *Directory
 	peer      atomic.Pointer[Directory] // answers FetchSnapshot if not nil
+	equal     atomic.Bool               // the peer does not look newer, and answers only if it need not be
+	asked     atomic.Int64              // calls for peers that need not be newer
 }
 
 // run runs a test in a synctest bubble with a directory that follows a store.
@@ -77,8 +79,11 @@
 	})
 }
 
-func (f *fixture) fetchSnapshot(context.Context) (Snapshot, error) {
-	if peer := f.peer.Load(); peer != nil {
+func (f *fixture) fetchSnapshot(_ context.Context, orEqual bool) (Snapshot, error) {
+	if orEqual {
+		f.asked.Add(1)
+	}
+	if peer := f.peer.Load(); peer != nil && (orEqual || !f.equal.Load()) {
 		return peer.Snapshot(), nil
 	}
 	return Snapshot{}, errors.New("no peer")
--- a/wharf/coordination/wharfdirectory/evacuation_test.go
+++ b/wharf/coordination/wharfdirectory/evacuation_test.go
@@ -157,6 +157,27 @@
 	})
 }
 
+// TestEvacuationsFromPeersThatDoNotLookNewer guards against a host that never asks the peer which read the last row before the
+// store was lost, because that peer's endpoints are no newer than its own. In a long outage hosts must not ask for ever.
+func TestEvacuationsFromPeersThatDoNotLookNewer(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.loseStore()
+		f.evacuate("a")
+		f.up()
+		f.peer.Store(f.startOther())
+		f.equal.Store(true)
+		f.down()
+		f.sleep(configurationStaleAfter + 3*peerSyncInterval)
+		assert.Equal(t, f.evacuated(), "a")
+		f.equal.Store(false)
+		f.peer.Store(nil)
+		f.asked.Store(0)
+		f.sleep(10 * time.Minute)
+		asked := f.asked.Load()
+		assert.Assert(t, asked > 0 && asked <= maxEqualSyncs, "%d times", asked)
+	})
+}
+
 // TestOlderBuildsEndNoEvacuation guards against a snapshot without a set, from a host of an older build, that ends an
 // evacuation, or that moves the host past a change which it then never reads.
 func TestOlderBuildsEndNoEvacuation(t *testing.T) {
