Evacuation: no request is queued in a zone whose endpoints are excluded

While one request waited in the queue of an evacuated zone, each that came meanwhile was queued behind it, so that the queue never became empty and refused requests for which other zones had slots.

Before: TestQueueOfAnEvacuatedZoneHoldsNobody: limits_test.go:83: assertion failed: error is not nil: every endpoint is busy and the request would wait too long

--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -316,7 +316,8 @@
 	if grant, granted := a.forward(ctx, r, requester, false); granted {
 		return nil, grant, nil
 	}
-	if !r.Batch && first {
+	excluded := a.options.Fleet.ExcludesNear(r.Service, r.Regions)
+	if !r.Batch && (first || excluded) {
 		if placement, err := a.pickAndPreempt(r, scope); err == nil {
 			return placement, Grant{}, nil
 		}
@@ -324,15 +325,16 @@
 			return nil, grant, nil
 		}
 	}
-	placement, err := a.place(ctx, r, scope)
-	if errors.Is(err, wharfpick.ErrNoEndpoint) && a.options.Fleet.ExcludesNear(r.Service, r.Regions) {
+	if excluded {
 		r.MaxWait = max(0, r.MaxWait-time.Since(start))
 		grant, err := a.queueElsewhere(ctx, r, requester)
 		if !errors.Is(err, errUnanswered) {
 			return nil, grant, err
 		}
+		scope.NearOnly = false
 	}
-	if errors.Is(err, wharfpick.ErrNoEndpoint) {
+	placement, err := a.place(ctx, r, scope)
+	if scope.NearOnly && errors.Is(err, wharfpick.ErrNoEndpoint) {
 		scope.NearOnly = false // the service has endpoints in other zones only
 		placement, err = a.place(ctx, r, scope)
 	}
--- a/wharf/coordination/wharfallocator/limits_test.go
+++ b/wharf/coordination/wharfallocator/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,39 @@
 	assert.Assert(t, err != nil, "slots of the evacuated zone are granted, and not used")
 }
 
+// TestQueueOfAnEvacuatedZoneHoldsNobody guards against requests that are queued in an evacuated zone, behind others that wait there
+// since before, and are refused although another zone has slots.
+func TestQueueOfAnEvacuatedZoneHoldsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZoneFleet(t)
+		for range slots {
+			z.mustAcquire("h2", "near")
+			z.mustAcquire("f0", "far")
+		}
+		z.report("h2")
+		z.report("f0")
+		waiting := make(chan error)
+		go func() {
+			_, err := z.acquire("h0", 60*time.Millisecond)
+			waiting <- err
+		}()
+		synctest.Wait()
+		assert.Equal(t, z.hosts["h0"].gate.Waiting(), 1)
+		z.evacuate("near", "h0", "h1", "h2", "h3", "f0")
+		z.hosts["f0"].fleet.Forget("f0")
+		time.AfterFunc(20*time.Millisecond, func() {
+			z.hosts["f0"].fleet.Update([]wharffleet.Endpoint{
+				{ID: "far", Service: "s", Zone: "far", Slots: 2 * slots, Address: netip.MustParseAddrPort("10.0.0.2:80")},
+			})
+			z.hosts["f0"].gate.Dispatch("s")
+		})
+		p, err := z.acquire("h3", 60*time.Millisecond)
+		assert.NilError(t, err)
+		assert.Equal(t, p.Endpoint.ID, "far")
+		assert.ErrorIs(t, <-waiting, wharfgate.ErrBusy)
+	})
+}
+
 func (z *zoneFleet) acquireIn(name string, regions ...string) (*wharffleet.Placement, error) {
 	return z.hosts[name].Acquire(context.Background(), Request{Service: "s", Organisation: "o", Weight: 1, Regions: regions})
 }
