--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -295,5 +295,14 @@
 	's/MaxHeaderBytes: sideHeaderBytes, ConnState: connections\.Track,//' $untrusted TestUnfinishedHeadsAtReadiness
 mutant uploads-not-counted wharf/transport/wharfbody/reader.go \
 	's/if err := a\.memory\.Grow\(ctx, int64\(cap\(a\.data\)\)\+size\); err != nil/if err := a.memory.Grow(ctx, 1); err != nil/' $untrusted TestGatewayUploadsThatStopShort
+fleet=./wharf/state/wharffleet
+directory=./wharf/coordination/wharfdirectory
+evacuation=wharf/state/wharffleet/evacuation.go
+mutant evacuations-ignored $evacuation 's/!e\.leaves\(\) && !f\.evacuations\.Includes\(e\.Zone\)/!e.leaves()/' $fleet TestEvacuatedEndpoints
+mutant grants-on-the-way-sent $evacuation 's/p\.fleet\.current\(\) && !p\.fleet\.evacuations\.Includes\(p\.entry\.Zone\)/p.fleet.current()/' $fleet TestRequestsOnTheirWay
+mutant snapshots-without-set wharf/coordination/wharfdirectory/directory.go 's/\|\| s\.Evacuations == nil //' $directory 'TestOlderBuilds|TestNotReady'
+mutant polls-across-suspensions wharf/coordination/wharfdirectory/current.go 's/if took > maxPollTime \{/if took < 0 {/' $directory TestHostIsNotCurrent
+mutant regions-ignored wharf/state/wharfregion/map.go 's/region != "" && slices\.Contains\(regions, region\)/region != "" || len(slices.Clone(regions)) >= 0/' \
+	./wharf/coordination/wharfallocator TestRequestsStayInTheirRegions
 
 exit $failed
--- a/wharf/coordination/wharfdirectory/directory_test.go
+++ b/wharf/coordination/wharfdirectory/directory_test.go
@@ -61,6 +61,8 @@
 	peer      atomic.Pointer[Directory] // answers FetchSnapshot if not nil
 	views     atomic.Int64
 	written   atomic.Pointer[map[string]time.Time] // last argument of OnWritten by endpoint
+	equal     atomic.Bool                          // the peer does not look newer, and answers only if it need not be
+	asked     atomic.Int64                         // calls for peers that need not be newer
 }
 
 // run runs a test in a synctest bubble with a directory that follows a store.
@@ -91,8 +93,11 @@
 	})
 }
 
-func (f *fixture) fetchSnapshot(context.Context) (Snapshot, error) {
-	if peer := f.peer.Load(); peer != nil {
+func (f *fixture) fetchSnapshot(_ context.Context, orEqual bool) (Snapshot, error) {
+	if orEqual {
+		f.asked.Add(1)
+	}
+	if peer := f.peer.Load(); peer != nil && (orEqual || !f.equal.Load()) {
 		return peer.Snapshot(), nil
 	}
 	return Snapshot{}, errors.New("no peer")
