Hosts that all start again have a bounded number of tokens together

Each started host had a token for one request and no allocator yet.

Now all started hosts together have at most a tenth of what rate and burst allow in five seconds, and ten tokens; up to 43 hosts still have one each for this organisation. A host that has assumed too few hosts gives up the difference when it learns how many there are.

--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -16,9 +16,13 @@
 	// initialHostCount is the least number of hosts assumed until the actual number is known, so that a newly started
 	// host does not refill whole buckets.
 	initialHostCount = 16
-	// restartTokens is what a restarted host has in each share: enough for one request, which with ten hosts stays
-	// within a tenth of typical bursts.
+	// restartTokens is what a restarted host has at most in each share: enough for one request. All hosts together have no
+	// more than a part, restartPart, of what rate and burst allow in restartWindow, and restartRest tokens: they may all
+	// have been killed at once, just after the organisation used its rate and burst.
 	restartTokens = 1.0
+	restartPart   = 0.1
+	restartWindow = 5 * time.Second
+	restartRest   = 10.0
 	// prefetchWindow is the demand for which tokens are pulled in advance: two prefetch intervals.
 	prefetchWindow = 200 * time.Millisecond
 	// prefetchInterval is the time between two checks of the levels.
@@ -109,11 +113,11 @@
 	if hosts == 0 {
 		return
 	}
-	l.hostsCounted = true
 	if hosts != l.hostCount {
-		l.hostCount = hosts
+		l.setHosts(hosts)
 		l.resizeBuckets()
 	}
+	l.hostsCounted = true
 }
 
 func (l *Limiter) resizeBuckets() {
@@ -126,7 +130,7 @@
 		known[o.Name] = true
 		b := l.buckets[o.Name]
 		if b == nil {
-			b = &bucket{name: o.Name, share: wharfshare.New(l.initialTokens(), now), lenders: map[string]*lender{}}
+			b = &bucket{name: o.Name, share: wharfshare.New(l.initialTokens(o), now), lenders: map[string]*lender{}}
 			l.buckets[o.Name] = b
 		}
 		b.limit = o
@@ -172,11 +176,25 @@
 	return max(0, o.Rate-rate)
 }
 
-func (l *Limiter) initialTokens() float64 {
+// initialTokens returns how many tokens a started host has in a share.
+func (l *Limiter) initialTokens(o wharfroute.Organisation) float64 {
 	if l.options.Fresh {
 		return math.MaxFloat64
 	}
-	return restartTokens
+	together := restartPart*(o.Rate*restartWindow.Seconds()+o.Burst) + restartRest
+	return min(restartTokens, together/float64(l.hostCount))
+}
+
+// setHosts follows the number of hosts. Until they have been counted, a started host has assumed too few: it then had too
+// many of the tokens that all started hosts may have together.
+func (l *Limiter) setHosts(hosts int) {
+	if !l.options.Fresh && !l.hostsCounted && hosts > l.hostCount {
+		now := time.Now()
+		for _, b := range l.buckets {
+			b.share.Scale(float64(l.hostCount)/float64(hosts), now)
+		}
+	}
+	l.hostCount = hosts
 }
 
 // Admission asks to admit one request.
@@ -333,7 +351,8 @@
 	}
 	if hosts != l.hostCount || shares.Used == 0 || l.shares.Used == 0 {
 		if shares != l.shares || hosts != l.hostCount {
-			l.shares, l.hostCount = shares, hosts
+			l.shares = shares
+			l.setHosts(hosts)
 			l.resizeBuckets()
 		}
 		return
--- a/wharf/coordination/wharflimiter/model_test.go
+++ b/wharf/coordination/wharflimiter/model_test.go
@@ -43,17 +43,18 @@
 	ctx     context.Context
 	work    sync.WaitGroup
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	reportLoss float64 // part of the reports that are lost
-	callLoss   float64 // part of the calls whose request or reply is lost
-	exact      *wharfshare.Share
-	exactAt    []time.Time // when one bucket for all hosts would have admitted requests
-	admittedAt []time.Time
-	calls      int
-	rejected   int
-	unasked    int     // rejected though no other host gave anything
-	levels     float64 // sum of the levels that rejections named
+	mu          sync.Mutex
+	random      *rand.Rand
+	reportLoss  float64 // part of the reports that are lost
+	reportDelay time.Duration
+	callLoss    float64 // part of the calls whose request or reply is lost
+	exact       *wharfshare.Share
+	exactAt     []time.Time // when one bucket for all hosts would have admitted requests
+	admittedAt  []time.Time
+	calls       int
+	rejected    int
+	unasked     int     // rejected though no other host gave anything
+	levels      float64 // sum of the levels that rejections named
 }
 
 // modelHost is a host of a model. Its fields are guarded by the model's mutex.
@@ -315,17 +316,30 @@
 		period = exchangePeriod
 	}
 	for wharfpause.For(ctx, period+m.drawDelay(period/8)) {
-		r := hostReport{at: time.Now(), admittedBy: m.admittedBy(h)}
+		r := hostReport{admittedBy: m.admittedBy(h)}
 		if m.zones == 1 {
 			r.levels = h.limiter.Levels()
 		}
 		m.mu.Lock()
-		for j := h.zone; j < len(m.hosts); j += m.zones {
-			if j != h.index && h.now.reaches(m.hosts[j].now) && m.random.Float64() >= m.reportLoss {
-				m.hosts[j].heard[h.index] = r
+		delay := m.reportDelay
+		m.mu.Unlock()
+		m.work.Go(func() {
+			if wharfpause.For(ctx, delay) {
+				m.deliver(h, r)
 			}
+		})
+	}
+}
+
+// deliver has the others hear a report.
+func (m *model) deliver(h *modelHost, r hostReport) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.at = time.Now()
+	for j := h.zone; j < len(m.hosts); j += m.zones {
+		if j != h.index && h.now.reaches(m.hosts[j].now) && m.random.Float64() >= m.reportLoss {
+			m.hosts[j].heard[h.index] = r
 		}
-		m.mu.Unlock()
 	}
 }
 
--- a/wharf/state/wharfshare/share.go
+++ b/wharf/state/wharfshare/share.go
@@ -63,6 +63,12 @@
 	s.level = min(burst, tokens)
 }
 
+// Scale multiplies the level by a part of it.
+func (s *Share) Scale(part float64, now time.Time) {
+	s.refill(now)
+	s.level *= part
+}
+
 // Take spends a token and reports whether there was one.
 func (s *Share) Take(now time.Time) bool {
 	if s.Level(now) < 1 {
