Tests and mutants of claims; a host that learns how many hosts there are keeps what a started one may have

TestClaimedTokensStayWithinOneBucket draws transfers, claims and spending over four shares: all that is spent fits into one bucket, in every window, but for 150 ms of the rate. Four mutants, each refuted: claims not limited by what is missing, overflow granted twice, no claims at all (TestSuddenLoadGetsTheBurst), a token for each started host.

Now it keeps as many as it would have started with.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -253,5 +253,15 @@
 mutant items-unchecked wharf/transport/wharffrontend/jobs.go 's/range items \{\n\t\tif err := items\[i\]/range items[:0] {\n\t\tif err := items[i]/' $host TestItemCannotHold
 mutant requests-unchecked wharf/transport/wharfhttpconn/conn.go 's/wharfcall\.ValidTarget\(r\.Target\)/wharfcall.ValidTarget("\/")/' \
 	./wharf/transport/wharfhttpconn FuzzSend
+share=./wharf/state/wharfshare
+mutant claims-without-vacancy wharf/state/wharfshare/share.go \
+	's/\ts\.claimable\.limit\(s\.burst - s\.level\)\n//' $share TestClaimedTokensStayWithinOneBucket
+mutant overflow-granted-twice wharf/state/wharfshare/overflow.go \
+	's/s\.take\(s\.last-int64\(age\), claimed\)/min(claimed, s.tokens[(s.last-int64(age)+slotCount)%slotCount])/' $share TestOverflowIsGrantedOnce
+mutant nothing-claimed wharf/state/wharfshare/share.go \
+	's/s\.claimable\.add\(s\.otherRate, from, now\)/_ = from/' ./wharf/coordination/wharflimiter 'TestSuddenLoadGetsTheBurst/61_hosts,_0.9'
+mutant started-hosts-have-a-token-each wharf/coordination/wharflimiter/limiter.go \
+	's/return min\(restartTokens, .*?\n/return restartTokens + 0*together\n/' ./wharf/coordination/wharflimiter \
+	'TestNoFaultAdmitsMoreThanTheLimit/570_hosts,_60_a_second,_all_hosts_killed_and_started_at_once'
 
 exit $failed
--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -188,13 +188,15 @@
 // setHosts follows the number of hosts. Until they have been counted, a started host has assumed too few: it then had too
 // many of the tokens that all started hosts may have together.
 func (l *Limiter) setHosts(hosts int) {
-	if !l.options.Fresh && !l.hostsCounted && hosts > l.hostCount {
-		now := time.Now()
-		for _, b := range l.buckets {
-			b.share.Scale(float64(l.hostCount)/float64(hosts), now)
-		}
-	}
+	grown := hosts > l.hostCount
 	l.hostCount = hosts
+	if l.options.Fresh || l.hostsCounted || !grown {
+		return
+	}
+	now := time.Now()
+	for _, b := range l.buckets {
+		b.share.Cap(l.initialTokens(b.limit), now)
+	}
 }
 
 // Admission asks to admit one request.
--- a/wharf/state/wharfshare/share.go
+++ b/wharf/state/wharfshare/share.go
@@ -63,10 +63,11 @@
 	s.level = min(burst, tokens)
 }
 
-// Scale multiplies the level by a part of it.
-func (s *Share) Scale(part float64, now time.Time) {
+// Cap lowers the level to a number of tokens if it is higher.
+func (s *Share) Cap(tokens float64, now time.Time) {
 	s.refill(now)
-	s.level *= part
+	s.surplus = surplus{}
+	s.level = min(s.level, tokens)
 }
 
 // Take spends a token and reports whether there was one.
