--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -304,5 +304,15 @@
 mutant polls-across-suspensions wharf/coordination/wharfdirectory/current.go 's/if took > maxPollTime \{/if took < 0 {/' $directory TestHostIsNotCurrent
 mutant regions-ignored wharf/state/wharfregion/map.go 's/region != "" && slices\.Contains\(regions, region\)/region != "" || len(slices.Clone(regions)) >= 0/' \
 	./wharf/coordination/wharfallocator TestRequestsStayInTheirRegions
+share=./wharf/state/wharfshare
+mutant claims-without-vacancy wharf/state/wharfshare/share.go \
+	's/\ts\.claimable\.limit\(s\.burst - s\.level\)\n//' $share TestClaimedTokensStayWithinOneBucket
+mutant overflow-granted-twice wharf/state/wharfshare/overflow.go \
+	's/s\.take\(s\.last-int64\(age\), claimed\)/min(claimed, s.tokens[(s.last-int64(age)+slotCount)%slotCount])/' $share TestOverflowIsGrantedOnce
+mutant nothing-claimed wharf/state/wharfshare/share.go \
+	's/s\.claimable\.add\(s\.otherRate, from, now\)/_ = from/' ./wharf/coordination/wharflimiter 'TestSuddenLoadGetsTheBurst/61_hosts,_0.9'
+mutant started-hosts-have-a-token-each wharf/coordination/wharflimiter/limiter.go \
+	's/return min\(restartTokens, .*?\n/return restartTokens + 0*together\n/' ./wharf/coordination/wharflimiter \
+	'TestNoFaultAdmitsMoreThanTheLimit/570_hosts,_60_a_second,_all_hosts_killed_and_started_at_once'
 
 exit $failed
--- a/wharf/state/wharfshare/share.go
+++ b/wharf/state/wharfshare/share.go
@@ -63,6 +63,13 @@
 	s.level = min(burst, tokens)
 }
 
+// Cap lowers the level to a number of tokens if it is higher.
+func (s *Share) Cap(tokens float64, now time.Time) {
+	s.refill(now)
+	s.surplus = surplus{}
+	s.level = min(s.level, tokens)
+}
+
 // Take spends a token and reports whether there was one.
 func (s *Share) Take(now time.Time) bool {
 	if s.Level(now) < 1 {
