Tests of accepted batch jobs and of submissions of many parts, known red

Forty jobs with 3 MB of items each, submitted one after the other, take 161 and 163 MB once they are accepted (96 allowed); one submission of 4 MiB at a time with 1.4 million empty items takes 307 MB. The items of the test's jobs state ten tokens instead of one, as many as the endpoint's events: an endpoint that sends more events than an item has tokens counts as faulty.

--- a/wharf-load/wharfuntrusted/untrusted_test.go
+++ b/wharf-load/wharfuntrusted/untrusted_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -82,6 +83,7 @@
 func job(t *testing.T, id string) []byte {
 	t.Helper()
 	const items, itemBytes = 200, 15000 // 20,000 in base64
+	const itemTokens = 10               // an endpoint sends as many events
 	type item struct {
 		ID     string `json:"id"`
 		Path   string `json:"path"`
@@ -90,7 +92,7 @@
 	}
 	var list []item
 	for i := range items {
-		list = append(list, item{ID: fmt.Sprint(id, "-", i), Path: "/batch/x", Body: legalBody[:itemBytes], Tokens: 1})
+		list = append(list, item{ID: fmt.Sprint(id, "-", i), Path: "/batch/x", Body: legalBody[:itemBytes], Tokens: itemTokens})
 	}
 	data, err := json.Marshal(map[string]any{"requests": list})
 	assert.NilError(t, err)
@@ -112,6 +114,48 @@
 	d.assertServes()
 }
 
+// TestManyLargeBatchJobs guards against batch jobs whose items fill the memory once they are accepted. One client submits
+// them, one after the other.
+func TestManyLargeBatchJobs(t *testing.T) {
+	const jobs = 40
+	d := start(t)
+	caller := wharfstandin.NewCaller(callerHost, key)
+	for i := range jobs {
+		id := fmt.Sprint("job-", i)
+		response := caller.Send(t.Context(), d.callers.String(), "POST", "/batch/x", id, string(job(t, id)))
+		assert.Check(t, response.Err == nil && (response.Status == 202 || response.Status == 503), "%d %.200s, %v",
+			response.Status, response.Body, response.Err)
+	}
+	d.assertServes()
+}
+
+// TestBatchJobsOfManyParts guards against submissions whose parts take many times their size once they are decoded.
+func TestBatchJobsOfManyParts(t *testing.T) {
+	for name, body := range map[string]string{
+		"items":   `{"requests":[` + strings.Repeat("{},", maxBodyBytes/3-10) + `{}]}`,
+		"headers": `{"requests":[{"id":"i","headers":{` + numberedHeaders(300_000) + `"A":""}}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := start(t)
+			caller := wharfstandin.NewCaller(callerHost, key)
+			for i := range 3 {
+				response := caller.Send(t.Context(), d.callers.String(), "POST", "/batch/x", fmt.Sprint("job-", i), body)
+				assert.Check(t, response.Err == nil && response.Status >= 400, "%d %v", response.Status, response.Err)
+			}
+			d.assertServes()
+		})
+	}
+}
+
+// numberedHeaders returns the entries of a JSON object with headers of different names.
+func numberedHeaders(count int) string {
+	var text strings.Builder
+	for i := range count {
+		fmt.Fprintf(&text, `"H%d":"",`, i)
+	}
+	return text.String()
+}
+
 // TestLargeChunksThatStopShort guards against chunked bodies in large chunks whose end never comes.
 func TestLargeChunksThatStopShort(t *testing.T) {
 	d := start(t)
