Batch jobs: count items of accepted jobs, bound the parts of submissions

The items of jobs that a host accepted or adopted count against an eighth of memory-mb (wharfjobstore, an account of its own, so that jobs and bodies do not take each other's memory). A submission for which there is no room is refused before anything is written (503 no-memory); an adopted job waits until others have ended. A submission with more than 100 parts for each of 200 items is refused (413 too-many-items) before it is decoded, and each part counts 300 bytes.

--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -266,5 +266,9 @@
 	's/MaxHeaderBytes: sideHeaderBytes, ConnState: connections\.Track,//' $untrusted TestUnfinishedHeadsAtReadiness
 mutant uploads-not-counted wharf/transport/wharfbody/reader.go \
 	's/if err := a\.memory\.Grow\(ctx, int64\(cap\(a\.data\)\)\+size\); err != nil/if err := a.memory.Grow(ctx, 1); err != nil/' $untrusted TestGatewayUploadsThatStopShort
+mutant job-items-not-counted wharf/coordination/wharfjobstore/memory.go \
+	's/min\(itemsSize\(items\), s\.options\.Memory\.Size\(\)\)/0 * itemsSize(items)/' $untrusted TestManyLargeBatchJobs
+mutant parts-not-bounded wharf/transport/wharffrontend/jobs.go \
+	's/if parts > maxParts \{/if false {/' $untrusted TestBatchJobsOfManyParts
 
 exit $failed
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -71,8 +71,9 @@
 	frontend       *wharffrontend.Server
 	metrics        *wharfmetrics.Metrics
 	callers        *http.Server
-	connections    *wharfidle.Closer // of callers
-	memory         *wharfmemory.Account
+	connections    *wharfidle.Closer    // of callers
+	memory         *wharfmemory.Account // for callers' bodies and responses about jobs
+	jobMemory      *wharfmemory.Account // for items of accepted and adopted jobs
 	membership     membership
 	draining       atomic.Bool
 	drainRequested chan struct{}
@@ -137,7 +138,10 @@
 		Shares:           h.rateShares,
 		RemoteAllocators: h.gossip.FirstRemoteAllocators,
 	})
-	h.jobs = wharfjobstore.New(wharfjobstore.Options{Records: h.store, Host: settings.Host, Incarnation: h.incarnation})
+	h.jobMemory = wharfmemory.New(settings.MemoryMB<<20/jobShare, 0)
+	h.jobs = wharfjobstore.New(wharfjobstore.Options{
+		Records: h.store, Host: settings.Host, Incarnation: h.incarnation, Memory: h.jobMemory,
+	})
 	h.newTrafficServices()
 	return h
 }
@@ -197,8 +201,13 @@
 	return 0
 }
 
-// outputShare is the part of a host's memory, one in outputShare, that the outputs of running batch items take at most.
-const outputShare = 8
+const (
+	// outputShare is the part of a host's memory, one in outputShare, that the outputs of running batch items take at most.
+	outputShare = 8
+	// jobShare is the part, one in jobShare, that the items of batch jobs take at most: three jobs of the largest size on the
+	// smallest host.
+	jobShare = 8
+)
 
 const (
 	// headerTimeout bounds the time to read a request header and maxHeaderBytes its size. Both exceed the limits that a
--- a/wagtailwharfd/wharfhost/run.go
+++ b/wagtailwharfd/wharfhost/run.go
@@ -160,6 +160,8 @@
 		"caller-memory":        h.memory.Held(),
 		"caller-memory-limit":  h.memory.Size(),
 		"slow-bodies-ended":    h.memory.Ended(),
+		"job-memory":           h.jobMemory.Held(),
+		"job-memory-limit":     h.jobMemory.Size(),
 		"holders":              h.membership.hostCount(),
 		"configuration-age-ms": h.directory.Age().Milliseconds(),
 		"allocators":           h.allocatorNames(),
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/coordination/wharfjobstore"
 	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharffleet"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharfschedule"
@@ -181,7 +182,11 @@
 	defer r.mu.Unlock()
 	aj.loading = false
 	if err != nil {
-		klog.InfoS("failed to read batch job items; retrying", "request-id", aj.job.ID, "error", err.Error())
+		verbosity := klog.Level(0)
+		if errors.Is(err, wharfmemory.ErrExhausted) {
+			verbosity = 1 // it takes until other jobs have ended
+		}
+		klog.V(verbosity).InfoS("failed to read batch job items; retrying", "request-id", aj.job.ID, "error", err.Error())
 		if r.jobs[job.Key()] == aj {
 			delete(r.jobs, job.Key())
 		}
--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -13,6 +13,7 @@
 
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharftask"
 )
@@ -280,14 +281,18 @@
 }
 
 // Items returns the items of a job. It returns ErrItemsLost if they are not in the store or can't be told from those of
-// another job, and otherwise no error but ErrUnavailable.
+// another job, wharfmemory.ErrExhausted if there is no memory to keep them, and otherwise no error but ErrUnavailable.
 func (s *Store) Items(ctx context.Context, job *Job) ([]wharfcall.Item, error) {
 	key := job.Key()
 	s.mu.Lock()
-	items := s.items[key]
+	kept, found := s.items[key]
 	s.mu.Unlock()
-	if items != nil {
-		return items, nil
+	if found {
+		return kept.items, nil
+	}
+	keep := job.Pending() && job.Owner == s.options.Host
+	if keep && !s.hasRoom() {
+		return nil, wharfmemory.ErrExhausted
 	}
 	data, err := retryWithResult(ctx, s, func(ctx context.Context) ([]byte, error) {
 		return s.options.Records.GetObject(ctx, job.Object)
@@ -298,7 +303,7 @@
 	if err != nil {
 		return nil, wharfrecords.ErrUnavailable
 	}
-	items, err = s.decodeOwnItems(job, data)
+	items, err := s.decodeOwnItems(job, data)
 	if err != nil {
 		klog.ErrorS(err, "failed to read batch job items", "request-id", job.ID, "organisation", job.Organisation,
 			"object", job.Object, "row-version", job.Version)
@@ -307,10 +312,12 @@
 		}
 		return nil, wharfrecords.ErrUnavailable // it was read wrong: the name is a hash of what is stored
 	}
-	if job.Pending() && job.Owner == s.options.Host {
-		s.mu.Lock()
-		s.items[key] = items
-		s.mu.Unlock()
+	if keep {
+		memory, err := s.reserve(ctx, items)
+		if err != nil {
+			return nil, err
+		}
+		s.keepItems(key, keptItems{items: items, memory: memory})
 	}
 	return items, nil
 }
--- a/wharf/coordination/wharfjobstore/follow.go
+++ b/wharf/coordination/wharfjobstore/follow.go
@@ -104,6 +104,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.jobs, key)
-	delete(s.items, key)
+	s.dropItems(key)
 	delete(s.listed, key)
 }
--- a/wharf/coordination/wharfjobstore/store.go
+++ b/wharf/coordination/wharfjobstore/store.go
@@ -13,6 +13,7 @@
 
 	"wagtailwharf.example/wharf/coordination/wharfrecords"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharftask"
 )
@@ -53,6 +54,8 @@
 	Records     wharfrecords.Store
 	Host        string
 	Incarnation uint64
+	// Memory bounds the items that are kept. Nil is no bound.
+	Memory *wharfmemory.Account
 }
 
 // Store reads and writes batch jobs and caches them from the change feed. It is safe for concurrent use.
@@ -61,8 +64,8 @@
 	mu          sync.Mutex
 	jobs        map[string]Job // by key, as last seen
 	listed      map[string][]wharftask.Result
-	items       map[string][]wharfcall.Item // by job key, of jobs that this host accepted or runs
-	clockOffset time.Duration               // of the store's clock from the time since started
+	items       map[string]keptItems // by job key, of jobs that this host accepted or runs
+	clockOffset time.Duration        // of the store's clock from the time since started
 	started     time.Time
 	version     uint64 // store version up to which the cache is complete
 	lastPoll    time.Time
@@ -77,7 +80,7 @@
 		options: options,
 		jobs:    map[string]Job{},
 		listed:  map[string][]wharftask.Result{},
-		items:   map[string][]wharfcall.Item{},
+		items:   map[string]keptItems{},
 		started: time.Now(),
 		changed: make(chan struct{}),
 	}
@@ -152,7 +155,7 @@
 }
 
 // Submit accepts a job idempotently: submitting a job that exists already has no effect. ErrWaitingLimit and
-// ErrUnavailable guarantee that no item of the job runs; ErrUnknown does not.
+// ErrUnavailable and wharfmemory.ErrExhausted guarantee that no item of the job runs; ErrUnknown does not.
 func (s *Store) Submit(ctx context.Context, sub Submission) error {
 	data := encode(sub.Items)
 	object := itemsObject(sub.Organisation, sub.ID, data)
@@ -216,16 +219,23 @@
 			"row-version", admission)
 		return ErrWaitingLimit
 	}
+	memory, err := s.reserve(ctx, sub.Items)
+	if err != nil {
+		return err
+	}
 	select {
-	case err := <-stored:
+	case err = <-stored:
 		stored <- err
-		if err != nil {
-			return err
-		}
 	case <-ctx.Done():
-		return wharfrecords.ErrUnavailable
+		err = wharfrecords.ErrUnavailable
 	}
-	return s.commitSubmission(ctx, sub, record, admission)
+	if err == nil {
+		err = s.commitSubmission(ctx, sub, record, admission, memory)
+	}
+	if err != nil {
+		memory.release()
+	}
+	return err
 }
 
 func (s *Store) newRecord(sub Submission, object string, now time.Duration) wharftask.Record {
@@ -246,7 +256,9 @@
 	return record
 }
 
-func (s *Store) commitSubmission(ctx context.Context, sub Submission, record wharftask.Record, admission uint64) error {
+func (s *Store) commitSubmission(
+	ctx context.Context, sub Submission, record wharftask.Record, admission uint64, memory reservation,
+) error {
 	key := jobKey(sub.Organisation, sub.ID)
 	transaction := wharfrecords.Transaction{
 		Part: partFor(sub.Organisation),
@@ -267,14 +279,13 @@
 		return wharfrecords.ErrConflict
 	}
 	if errors.Is(err, wharfrecords.ErrUnknown) {
+		memory.release() // the items are read again if the job was accepted
 		return s.resolveUnknown(ctx, sub)
 	}
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	s.items[key] = sub.Items
-	s.mu.Unlock()
+	s.keepItems(key, keptItems{items: sub.Items, memory: memory})
 	s.cacheJob(Job{Record: record, Version: page.Version})
 	return nil
 }
@@ -370,7 +381,7 @@
 	}
 	s.jobs[key] = job
 	if !job.Pending() {
-		delete(s.items, key)
+		s.dropItems(key)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/wharf/protocol/wharfdialect/dialect.go
+++ b/wharf/protocol/wharfdialect/dialect.go
@@ -38,6 +38,9 @@
 	DecodeCall(r *http.Request) wharfcall.Call
 	// DecodeJobCall decodes a request about a batch job, and reports whether the request is one.
 	DecodeJobCall(r *http.Request) (JobCall, bool, error)
+	// CountParts returns an upper bound of the number of parts of a batch job submission. Each takes memory of its own once it
+	// is decoded, however short it is.
+	CountParts(body []byte) int
 	// DecodeItems decodes the body of a batch job submission.
 	DecodeItems(body []byte) ([]wharfcall.Item, error)
 	// AttemptHeader returns the request header of an attempt to send a call to an endpoint.
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -13,6 +13,7 @@
 	"wagtailwharf.example/wharf/protocol/wharfdialect"
 	"wagtailwharf.example/wharf/protocol/wharfrefusal"
 	"wagtailwharf.example/wharf/state/wharfcall"
+	"wagtailwharf.example/wharf/state/wharfmemory"
 	"wagtailwharf.example/wharf/state/wharftask"
 	"wagtailwharf.example/wharf/transport/wharfmetrics"
 )
@@ -87,13 +88,24 @@
 	return nil
 }
 
-// decodedShare is how many times the size of a submission its items and their stored form take together at most.
-const decodedShare = 3
+const (
+	// decodedShare is how many times the size of a submission its items and their stored form take together at most, and
+	// partBytes what each part takes beside that.
+	decodedShare = 3
+	partBytes    = 300
+	// maxParts is the largest number of parts of a submission: 100 for each item.
+	maxParts = 100 * maxItems
+)
 
 // decodeItems decodes a submission. It reserves the memory of the items and their stored form before, and gives up the body.
 func (q *request) decodeItems(ctx context.Context) ([]wharfcall.Item, error) {
-	size := int64(len(q.call.Body))
-	if err := q.reserve(ctx, min((1+decodedShare)*size, q.server.options.Memory.Size())); err != nil {
+	size, most := int64(len(q.call.Body)), q.server.options.Memory.Size()
+	parts := q.server.options.Dialect.CountParts(q.call.Body)
+	if parts > maxParts {
+		return nil, errJobTooLarge
+	}
+	decoded := decodedShare*size + int64(parts)*partBytes
+	if err := q.reserve(ctx, min(size+decoded, most)); err != nil {
 		return nil, err
 	}
 	items, err := q.server.options.Dialect.DecodeItems(q.call.Body)
@@ -101,7 +113,7 @@
 	if err != nil {
 		return nil, errMalformed
 	}
-	q.memory.Shrink(min(decodedShare*size, q.server.options.Memory.Size()))
+	q.memory.Shrink(min(decoded, most))
 	return items, nil
 }
 
@@ -121,6 +133,8 @@
 	switch {
 	case errors.Is(err, wharfjobstore.ErrWaitingLimit):
 		return q.withRetryAfter(errTooManyWaiting)
+	case errors.Is(err, wharfmemory.ErrExhausted):
+		return q.withRetryAfter(errNoMemory)
 	case errors.Is(err, wharfjobstore.ErrNotFound), errors.Is(err, wharfjobstore.ErrItemsLost):
 		return errNoJob
 	case errors.Is(err, wharfrecords.ErrRejected):
