--- a/wharf/transport/wharfstore/client.go
+++ b/wharf/transport/wharfstore/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfrow"
+	"wagtailwharf.example/wharf/transport/wharfbody"
 )
 
 const (
@@ -25,6 +25,8 @@
 	firstBackoff        = 50 * time.Millisecond
 	maxBackoff          = time.Second
 	maxIdleConnsPerHost = 64
+	// maxAnswerBytes bounds an answer: the largest object is a chunk of 256 lines of 1 MiB.
+	maxAnswerBytes = 256 << 20
 )
 
 // Client accesses the platform's stores for one daemon. It implements wharfstorage.Storage.
@@ -163,7 +165,7 @@
 		return trace.Wrap(outcomeUnknown(err))
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := wharfbody.ReadResponse(response, maxAnswerBytes)
 	if err != nil {
 		return trace.Wrap(outcomeUnknown(err))
 	}
