--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -314,5 +314,9 @@
 mutant started-hosts-have-a-token-each wharf/coordination/wharflimiter/limiter.go \
 	's/return min\(restartTokens, .*?\n/return restartTokens + 0*together\n/' ./wharf/coordination/wharflimiter \
 	'TestNoFaultAdmitsMoreThanTheLimit/570_hosts,_60_a_second,_all_hosts_killed_and_started_at_once'
+mutant job-items-not-counted wharf/coordination/wharfjobstore/memory.go \
+	's/min\(itemsSize\(items\), s\.options\.Memory\.Size\(\)\)/0 * itemsSize(items)/' $untrusted TestManyLargeBatchJobs
+mutant parts-not-bounded wharf/transport/wharffrontend/jobs.go \
+	's/if parts > maxParts \{/if false {/' $untrusted TestBatchJobsOfManyParts
 
 exit $failed
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -74,8 +74,9 @@
 	frontend       *wharffrontend.Server
 	metrics        *wharfmetrics.Metrics
 	callers        *http.Server
-	connections    *wharfidle.Closer // of callers
-	memory         *wharfmemory.Account
+	connections    *wharfidle.Closer    // of callers
+	memory         *wharfmemory.Account // for callers' bodies and responses about jobs
+	jobMemory      *wharfmemory.Account // for items of accepted and adopted jobs
 	membership     membership
 	evacuations    *wharfevacuation.Set // of the latest view; used by onViewChange only
 	turnedWarm     atomic.Bool          // a cold endpoint is warm again since registrations were last taken note of
@@ -131,9 +132,10 @@
 		Shares:           h.rateShares,
 		RemoteAllocators: h.gossip.FirstRemoteAllocators,
 	})
+	h.jobMemory = wharfmemory.New(settings.MemoryMB<<20/jobShare, 0)
 	h.jobs = wharfjobstore.New(wharfjobstore.Options{
 		Records: h.store, Host: settings.Host, Incarnation: h.incarnation,
-		Region: settings.Regions()[settings.Zone],
+		Region: settings.Regions()[settings.Zone], Memory: h.jobMemory,
 	})
 	h.newTrafficServices()
 	return h
@@ -228,8 +230,13 @@
 	return 0
 }
 
-// outputShare is the part of a host's memory, one in outputShare, that the outputs of running batch items take at most.
-const outputShare = 8
+const (
+	// outputShare is the part of a host's memory, one in outputShare, that the outputs of running batch items take at most.
+	outputShare = 8
+	// jobShare is the part, one in jobShare, that the items of batch jobs take at most: three jobs of the largest size on the
+	// smallest host.
+	jobShare = 8
+)
 
 const (
 	// headerTimeout bounds the time to read a request header and maxHeaderBytes its size. Both exceed the limits that a
