--- a/wharf-load/wharfsoak/cold_faults.go
+++ b/wharf-load/wharfsoak/cold_faults.go
@@ -35,9 +35,6 @@
 	if !s.options.Cold {
 		return
 	}
-	s.turnedCold.mu.Lock()
-	s.turnedCold.spans = append(s.turnedCold.spans, span{from: time.Now().Add(-coldKnown), to: time.Now().Add(coldKnown)})
-	s.turnedCold.mu.Unlock()
 	for i, e := range s.endpoints {
 		if zoneOf(i) == zone {
 			e.current().TurnCold()
@@ -52,15 +49,16 @@
 	}
 }
 
-// turnedColdUnknown reports whether a host started, or had no store, while endpoints turned cold at the end of an evacuation.
-// It can't know then that registrations from before that end may be wrong.
-func (s *system) turnedColdUnknown() bool {
-	for _, turned := range s.turnedCold.spans {
-		if s.storeFaults.overlaps(turned.from, turned.to) {
+// returnUnknown reports whether a host started, or had no store, while an evacuation of a zone ended. It can't know then that
+// registrations from before that end may be wrong.
+func (s *system) returnUnknown(zone string) bool {
+	for _, evacuated := range s.evacuations.spans[zone] {
+		from, to := evacuated.to.Add(-coldKnown), evacuated.to.Add(coldKnown)
+		if s.storeFaults.overlaps(from, to) {
 			return true
 		}
 		for _, h := range s.hosts {
-			if h.faults.overlaps(turned.from, turned.to) || h.plannedStops.overlaps(turned.from, turned.to) {
+			if h.faults.overlaps(from, to) || h.plannedStops.overlaps(from, to) {
 				return true
 			}
 		}
@@ -70,12 +68,10 @@
 
 // checkColdEndpoints checks that cold endpoints got no more requests than they withstand.
 func (t *traffic) checkColdEndpoints() {
-	if t.system.turnedColdUnknown() {
-		return
-	}
 	for _, e := range t.system.endpoints {
 		for _, instance := range e.instances {
-			if most := instance.MostColdArrivals(); most > coldBound {
+			most := instance.MostColdArrivals()
+			if most > coldBound && !t.system.returnUnknown(instance.Zone) {
 				t.system.findings.add("%s got %d requests in a second while it was cold, %d are allowed", instance.ID, most, coldBound)
 			}
 		}
--- a/wharf-load/wharfsoak/system.go
+++ b/wharf-load/wharfsoak/system.go
@@ -66,7 +66,6 @@
 	storeFaults   faultSpans // faults that affect all hosts' access to the store
 	findings      findings
 	evacuations   evacuations
-	turnedCold    faultSpans // when endpoints turned cold without a start, with the time that hosts need to know it
 
 	mu            sync.Mutex
 	crashing      []*request // requests with crashingPart
