wharfgate: a queue for each list of regions

Requests that are limited to regions which are full, or have no endpoint, stood at the head of the one queue of their service and held up requests that could run elsewhere, for up to their slot wait each.

Before: TestClassesDoNotHoldEachOtherUp: gate_test.go:184: assertion failed: error is not nil: every endpoint is busy and the request would wait too long

--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -420,8 +421,8 @@
 	}
 	placement, _, err := a.options.Gate.Acquire(ctx, wharfgate.Request[*wharffleet.Placement]{
 		Service: r.Service, Organisation: r.Organisation, Weight: r.Weight, MaxWait: r.MaxWait,
-		Continues: r.Continues,
-		Pick:      func(time.Time) (*wharffleet.Placement, error) { return a.pick(r, scope) },
+		Continues: r.Continues, Class: strings.Join(r.Regions, "\n"),
+		Pick: func(time.Time) (*wharffleet.Placement, error) { return a.pick(r, scope) },
 	})
 	if err == nil && placement.NeedsPreemption {
 		a.options.Preempt(placement.Endpoint.ID)
--- a/wharf/coordination/wharfgate/gate.go
+++ b/wharf/coordination/wharfgate/gate.go
@@ -33,10 +33,16 @@
 type Gate[E Slot] struct {
 	waiting atomic.Int64
 	mu      sync.Mutex
-	queues  map[string]*serviceQueue[E]
+	queues  map[queueKey]*serviceQueue[E]
+	classes map[string]int // by class, the number of queued requests
 	fifo    bool
 }
 
+// queueKey identifies a queue.
+type queueKey struct {
+	service, class string
+}
+
 // Slot is a request's slot at an endpoint.
 type Slot interface {
 	Release()
@@ -72,19 +78,22 @@
 	// Continues is set for a request that continues a stream. It goes before those that begin one, since part of its work is
 	// done, and does not hold them up if the endpoints that it can use are full.
 	Continues bool
+	// Class names the endpoints that the request can use if they are not all of the service's, such as those of some regions.
+	// Each class has a queue, so that a request which finds no slot does not hold up those that can use others.
+	Class string
 	// Pick takes a slot at an endpoint. It returns wharfpick.ErrAllFull if no slot is free.
 	Pick func(now time.Time) (E, error)
 }
 
 // New returns a Gate with empty queues.
 func New[E Slot]() *Gate[E] {
-	return &Gate[E]{queues: map[string]*serviceQueue[E]{}}
+	return &Gate[E]{queues: map[queueKey]*serviceQueue[E]{}, classes: map[string]int{}}
 }
 
 // Acquire returns a slot that the request holds until Release. With ErrBusy, wharfpick.ErrNoEndpoint and
 // wharfpick.ErrAllFull it returns how long the caller should wait before a retry.
 func (g *Gate[E]) Acquire(ctx context.Context, request Request[E]) (slot E, wait time.Duration, err error) {
-	if request.Continues || g.waiting.Load() == 0 {
+	if request.Continues || !g.holdsUp(request.Class) {
 		slot, err = request.Pick(time.Now())
 		if !errors.Is(err, wharfpick.ErrAllFull) {
 			return slot, minRetryAfter, err
@@ -97,24 +106,51 @@
 	if wait, ok := g.enqueue(w, request); !ok {
 		return slot, wait, ErrBusy
 	}
-	defer g.waiting.Add(-1)
+	defer g.leave(request.Class)
 	return g.await(ctx, w, request)
 }
 
+// holdsUp reports whether requests of a class are queued.
+func (g *Gate[E]) holdsUp(class string) bool {
+	if g.waiting.Load() == 0 {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.classes[class] > 0
+}
+
+// join counts a queued request. The caller holds g.mu.
+func (g *Gate[E]) join(class string) {
+	g.waiting.Add(1)
+	g.classes[class]++
+}
+
+// leave counts a request that is no longer queued.
+func (g *Gate[E]) leave(class string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting.Add(-1)
+	if g.classes[class]--; g.classes[class] == 0 {
+		delete(g.classes, class)
+	}
+}
+
 // enqueue adds the waiter to its queue unless the expected wait exceeds the request's maximum wait; then it returns
 // the expected wait and false.
 func (g *Gate[E]) enqueue(w *waiter[E], request Request[E]) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.queues[request.Service]
+	key := queueKey{request.Service, request.Class}
+	q := g.queues[key]
 	if q == nil {
 		q = &serviceQueue[E]{queue: wharfqueue.New[*waiter[E]](), startInterval: initialStartInterval}
-		g.queues[request.Service] = q
+		g.queues[key] = q
 	}
 	now := time.Now()
 	if request.Continues {
 		q.continuing = append(q.continuing, w)
-		g.waiting.Add(1)
+		g.join(request.Class)
 		return 0, true
 	}
 	if q.queue.Len() == 0 {
@@ -126,7 +162,7 @@
 		return max(expected, minRetryAfter), false
 	}
 	q.queue.Push(request.Organisation, request.Weight, w, now.Add(request.MaxWait))
-	g.waiting.Add(1)
+	g.join(request.Class)
 	return 0, true
 }
 
@@ -181,11 +217,16 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.queues[service]
-	if q == nil {
-		return
-	}
 	now := time.Now()
+	for key, q := range g.queues {
+		if key.service == service {
+			q.dispatch(now)
+		}
+	}
+}
+
+// dispatch starts queued requests while slots are free.
+func (q *serviceQueue[E]) dispatch(now time.Time) {
 	q.continuing = slices.DeleteFunc(q.continuing, func(w *waiter[E]) bool { return w.start(now) })
 	q.queue.Expire(now)
 	for {
--- a/wharf/coordination/wharfgate/gate_test.go
+++ b/wharf/coordination/wharfgate/gate_test.go
@@ -163,6 +163,37 @@
 	})
 }
 
+// TestClassesDoNotHoldEachOtherUp guards against requests that are limited to endpoints which are full, or away, and hold up
+// requests that could use others.
+func TestClassesDoNotHoldEachOtherUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1)
+		ctx := context.Background()
+		limited := g.request("o", time.Minute)
+		limited.Class = "full"
+		limited.Pick = func(time.Time) (*wharfpick.Endpoint, error) { return nil, wharfpick.ErrAllFull }
+		limitedCtx, cancel := context.WithCancel(ctx)
+		done := make(chan error)
+		go func() {
+			_, _, err := g.Acquire(limitedCtx, limited)
+			done <- err
+		}()
+		synctest.Wait()
+		start := time.Now()
+		e, _, err := g.Acquire(ctx, g.request("o", time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		time.AfterFunc(10*time.Millisecond, func() { g.Release(e, "s") })
+		e, _, err = g.Acquire(ctx, g.request("o", time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), 10*time.Millisecond, "it was queued, behind none of the other class")
+		g.Release(e, "s")
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+		assert.Equal(t, g.Waiting(), 0)
+	})
+}
+
 // TestQueueServesAtOnceAfterSlotsWereFew guards against a gate that goes on refusing requests which find no slot at once, because
 // requests could rarely start while endpoints were away.
 func TestQueueServesAtOnceAfterSlotsWereFew(t *testing.T) {
