--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -138,16 +138,16 @@
 		Shares:           h.rateShares,
 		RemoteAllocators: h.gossip.FirstRemoteAllocators,
 	})
-	h.jobMemory = wharfmemory.New(settings.MemoryMB<<20/jobShare, 0)
-	h.jobs = wharfjobstore.New(wharfjobstore.Options{
-		Records: h.store, Host: settings.Host, Incarnation: h.incarnation, Memory: h.jobMemory,
-	})
 	h.newTrafficServices()
 	return h
 }
 
 // newTrafficServices sets up the services that handle requests and batch jobs.
 func (h *Host) newTrafficServices() {
+	h.jobMemory = wharfmemory.New(h.settings.MemoryMB<<20/jobShare, 0)
+	h.jobs = wharfjobstore.New(wharfjobstore.Options{
+		Records: h.store, Host: h.settings.Host, Incarnation: h.incarnation, Memory: h.jobMemory,
+	})
 	forwarder := wharfforwarder.New(wharfwire.New(), h.endpointPool)
 	h.runner = wharfjobrunner.New(wharfjobrunner.Options{
 		Host:        h.settings.Host,
--- a/wharf-load/wharfsoak/traffic.go
+++ b/wharf-load/wharfsoak/traffic.go
@@ -76,6 +76,7 @@
 		callers.Go(func() { t.sendRequests(ctx, h, "open", "", "", 3*requestInterval) })
 		callers.Go(func() { t.sendRequests(ctx, h, "resume", "passing", revocableKey, 2*requestInterval) })
 		callers.Go(func() { t.sendRequests(ctx, h, "resume", "", "unknown-key", 10*requestInterval) })
+		callers.Go(func() { t.misuse(ctx, h) })
 		limitedInterval := time.Duration(len(t.system.hosts)) * time.Second / (3 * limitRate)
 		callers.Go(func() { t.sendRequests(ctx, h, "resume", "limited", limitedKey, limitedInterval) })
 	}
--- a/wharf-load/wharfuntrusted/daemon_test.go
+++ b/wharf-load/wharfuntrusted/daemon_test.go
@@ -121,6 +121,12 @@
 
 // start starts a daemon with two endpoints and waits until it is ready.
 func start(t *testing.T) *daemon {
+	t.Helper()
+	return startWith(t, memoryMB)
+}
+
+// startWith starts a daemon as start does, with another memory limit.
+func startWith(t *testing.T, memoryMB int) *daemon {
 	t.Helper()
 	store := wharfstandin.NewStore()
 	server := httptest.NewServer(store)
@@ -134,7 +140,7 @@
 		assert.NilError(t, err)
 		t.Cleanup(e.Stop)
 	}
-	d := &daemon{t: t, callers: freePort(t), readiness: freePort(t), metrics: freePort(t), memoryMB: memoryMB}
+	d := &daemon{t: t, callers: freePort(t), readiness: freePort(t), metrics: freePort(t), memoryMB: float64(memoryMB)}
 	d.ordinary = d.sendOrdinary
 	settings := filepath.Join(t.TempDir(), "host.toml")
 	text := fmt.Sprintf("host = \"host\"\navailability-zone = \"zone\"\ncallers = %q\nreadiness = %q\npeers = %q\nmetrics = %q\n"+
--- a/wharf-load/wharfuntrusted/untrusted_test.go
+++ b/wharf-load/wharfuntrusted/untrusted_test.go
@@ -1,11 +1,13 @@
 package wharfuntrusted
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -230,6 +232,30 @@
 	}
 }
 
+// TestLargestRequestsAreServed guards against bounds that refuse a single legal request when there is no other load, at the
+// smallest memory limit that the settings allow.
+func TestLargestRequestsAreServed(t *testing.T) {
+	const smallestMemoryMB = 64
+	d := startWith(t, smallestMemoryMB)
+	for i, r := range []wharfstandin.RawRequest{
+		{Target: "/resume/x", Announce: maxBodyBytes, Body: legalBody},
+		{Target: "/resume/x", Chunk: 1 << 16, Body: legalBody, Ends: true},
+		{Target: "/resume/x", Chunk: 1000, Body: legalBody[:maxBodyBytes-1], Ends: true},
+		{Target: "/batch/x", Announce: len(job(t, "job")), Body: job(t, "job")},
+	} {
+		r.Deadline = waitLimit
+		conn, err := wharfstandin.NewCaller(callerHost, key).SendRaw(d.callers, fmt.Sprint("large-", i), r)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Assert(t, response.StatusCode == 200 || response.StatusCode == 202, "request %d: %s", i, response.Status)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Close())
+	}
+	d.assertServes()
+}
+
 // testIdleConnections guards against connections that use up the descriptors, half of them after a request, the others
 // without any.
 func testIdleConnections(t *testing.T, port func(*daemon) netip.AddrPort) {
--- a/wharf/state/wharfmemory/account_test.go
+++ b/wharf/state/wharfmemory/account_test.go
@@ -16,6 +16,30 @@
 	reserve = 64 << 10
 )
 
+// resize changes a reservation and checks that it has the new total or, if there is no memory, the old one.
+func resize(t *rapid.T, r *Reservation, total int64) {
+	before := r.total.Load()
+	if total <= before {
+		r.Shrink(total)
+	} else if r.Grow(context.Background(), total) != nil {
+		total = before
+	}
+	if r.total.Load() != total {
+		t.Fatalf("reservation has %d, want %d", r.total.Load(), total)
+	}
+}
+
+// checkSum checks that the account holds what its reservations have, within its size.
+func checkSum(t *rapid.T, a *Account, open []*Reservation) {
+	sum := int64(0)
+	for _, r := range open {
+		sum += r.total.Load()
+	}
+	if sum != a.Held() || sum > size+reserve {
+		t.Fatalf("reservations have %d, the account holds %d", sum, a.Held())
+	}
+}
+
 // TestReservationsStayWithinTheAccount guards against memory that is counted twice, lost or granted beyond the account.
 func TestReservationsStayWithinTheAccount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -26,29 +50,14 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			r := open[rapid.IntRange(0, len(open)-1).Draw(t, "which")]
-			total := rapid.Int64Range(0, size/3).Draw(t, "total") >> rapid.IntRange(0, 12).Draw(t, "scale")
-			if total > r.total.Load() {
-				before := r.total.Load()
-				if err := r.Grow(context.Background(), total); err != nil {
-					total = before
-				}
-			} else {
-				r.Shrink(total)
-			}
-			sum := int64(0)
-			for _, r := range open {
-				sum += r.total.Load()
-			}
-			if r.total.Load() != total || sum != a.Held() || sum > size+reserve {
-				t.Fatalf("reservation has %d, want %d; sum %d, held %d", r.total.Load(), total, sum, a.Held())
-			}
+			resize(t, r, rapid.Int64Range(0, size/3).Draw(t, "total")>>rapid.IntRange(0, 12).Draw(t, "scale"))
+			checkSum(t, a, open)
 		}
 		for _, r := range open {
 			r.Release()
 			r.Release()
 		}
-		all := a.Open(nil)
-		if err := all.Grow(context.Background(), size); err != nil || a.Held() != size {
+		if err := a.Open(nil).Grow(context.Background(), size); err != nil || a.Held() != size {
 			t.Fatalf("after all releases: %v, held %d", err, a.Held())
 		}
 	})
--- a/wharf/transport/wharfbody/reader.go
+++ b/wharf/transport/wharfbody/reader.go
@@ -90,7 +90,7 @@
 	}
 	body, err := b.ReadPart(ctx, w, r, r.Body, limit, deadline)
 	if err == nil {
-		// The server goes on reading, to notice that the caller disconnects.
+		// The server goes on reading, to notice that the caller disconnects, and would take the deadline for that.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	return body, err
--- a/wharf/transport/wharfbody/reader_test.go
+++ b/wharf/transport/wharfbody/reader_test.go
@@ -54,33 +54,36 @@
 // TestBodiesAreReadIntoBuffersThatFit guards against buffers of twice the body's size and against lost or added bytes.
 func TestBodiesAreReadIntoBuffersThatFit(t *testing.T) {
 	for _, size := range []int{0, 1, 100, firstStep - 1, firstStep, firstStep + 1, 100_000, limit - 1, limit} {
-		for _, announced := range []bool{true, false} {
-			synctest.Test(t, func(t *testing.T) {
-				length := int64(-1)
-				if announced {
-					length = int64(size)
-				}
-				b, memory := newReader()
-				w, r, client := arrivalOf(t, length)
-				text := strings.Repeat("abcdefg", size/7+1)[:size]
-				go func() {
-					_, _ = io.WriteString(client, text)
-					if !announced {
-						_ = client.Close()
-					}
-				}()
-				body, err := b.Read(t.Context(), w, r, limit, time.Now().Add(time.Hour))
-				assert.NilError(t, err)
-				assert.Assert(t, string(body.Data) == text, "%d bytes, want %d", len(body.Data), size)
-				if announced && size > 0 {
-					assert.Equal(t, memory.Held(), int64(size+1))
-				}
-				assert.Assert(t, memory.Held() >= int64(cap(body.Data)) || cap(body.Data) < 32)
-				body.Memory.Release()
-				assert.Equal(t, memory.Held(), int64(0))
-			})
+		synctest.Test(t, func(t *testing.T) { readWhole(t, size, true) })
+		synctest.Test(t, func(t *testing.T) { readWhole(t, size, false) })
+	}
+}
+
+// readWhole reads a body whose length is announced or not, and checks it and its memory.
+func readWhole(t *testing.T, size int, announced bool) {
+	t.Helper()
+	length := int64(-1)
+	if announced {
+		length = int64(size)
+	}
+	b, memory := newReader()
+	w, r, client := arrivalOf(t, length)
+	text := strings.Repeat("abcdefg", size/7+1)[:size]
+	go func() {
+		_, _ = io.WriteString(client, text)
+		if !announced {
+			_ = client.Close()
 		}
+	}()
+	body, err := b.Read(t.Context(), w, r, limit, time.Now().Add(time.Hour))
+	assert.NilError(t, err)
+	assert.Assert(t, string(body.Data) == text, "%d bytes, want %d", len(body.Data), size)
+	if announced && size > 0 {
+		assert.Equal(t, memory.Held(), int64(size+1))
 	}
+	assert.Assert(t, memory.Held() >= int64(cap(body.Data)) || cap(body.Data) < 32)
+	body.Memory.Release()
+	assert.Equal(t, memory.Held(), int64(0))
 }
 
 // TestBodiesEndAtTheirBounds guards against bodies that hold memory for as long as their callers like.
--- a/wharf/transport/wharfgateway/refusals.go
+++ b/wharf/transport/wharfgateway/refusals.go
@@ -159,15 +159,6 @@
 	return err
 }
 
-// setReadTimeout limits the time to read a request. The limit must be cleared before the response is sent: net/http
-// keeps reading in the background to detect a disconnected caller, and would treat the deadline as a disconnect. The
-// limit stays if the request was not read to its end, so that the server does not wait for the rest.
-func (s *Server) setReadTimeout(w http.ResponseWriter, limit time.Duration) (clearTimeout func()) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(limit))
-	return func() { _ = controller.SetReadDeadline(time.Time{}) }
-}
-
 // containsKey reports whether the body, query or path contains the caller's key, which must not reach endpoints.
 func containsKey(token string, body []byte, r *http.Request) bool {
 	if token == "" {
