Tests of allocators and the runner without data races

The counters of the allocators' fixture were changed by several goroutines at once, in tests before these too; the runner's new tests changed a running host's options.

--- a/wharf/coordination/wharfallocator/allocator_test.go
+++ b/wharf/coordination/wharfallocator/allocator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,7 @@
 	fleet     *wharffleet.Fleet
 	gate      *wharfgate.Gate[*wharffleet.Placement]
 	ready     bool
+	mu        sync.Mutex // guards counts
 	counts    map[string]int
 	preempted []string
 }
@@ -79,7 +81,11 @@
 			return z.hosts[to.Host].Grant(context.Background(), r), nil
 		},
 		Preempt: func(endpoint string) { h.preempted = append(h.preempted, endpoint) },
-		Count:   func(name string) { h.counts[name]++ },
+		Count: func(name string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.counts[name]++
+		},
 	})
 	z.hosts[name] = h
 }
--- a/wharf/coordination/wharfjobrunner/limits_test.go
+++ b/wharf/coordination/wharfjobrunner/limits_test.go
@@ -14,8 +14,12 @@
 	"wagtailwharf.example/wharf/state/wharfroute"
 )
 
-// limit puts a host into a zone and limits its jobs to regions.
-func (h *testHost) limit(zone string, regions ...string) {
+// limit returns a function that puts a host into a zone and limits its jobs to regions.
+func limit(zone string, regions ...string) func(h *testHost) {
+	return func(h *testHost) { h.limit(zone, regions) }
+}
+
+func (h *testHost) limit(zone string, regions []string) {
 	route := *h.runner.options.Table().RouteByName("r")
 	route.AllowedRegions = regions
 	table := wharfroute.New(wharfroute.Configuration{Version: 2, Routes: []wharfroute.Route{route}})
@@ -24,6 +28,13 @@
 	h.fleet.SetRegions(h.runner.options.Regions)
 }
 
+// started returns the number of attempts that have started.
+func (h *testHost) started() int {
+	h.engine.mu.Lock()
+	defer h.engine.mu.Unlock()
+	return len(h.engine.starts)
+}
+
 // TestItemsAreNotStartedInAnEvacuatedZone guards against items that are started in an evacuated zone, and against an evacuation
 // that stops those that run.
 func TestItemsAreNotStartedInAnEvacuatedZone(t *testing.T) {
@@ -35,10 +46,10 @@
 		evacuated := none.Replace(1, []wharfevacuation.Change{{Zone: "zone", Version: 1}})
 		h.fleet.SetEvacuations(evacuated)
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, len(h.engine.starts), 4, "the slots of the endpoint")
+		assert.Equal(t, h.started(), 4, "the slots of the endpoint")
 		h.fleet.SetEvacuations(evacuated.Replace(2, nil))
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, len(h.engine.starts), 8, "no item was stopped")
+		assert.Equal(t, h.started(), 8, "no item was stopped")
 		assertComplete(t, h, "job", 8)
 		h.kill()
 	})
@@ -47,11 +58,10 @@
 // TestItemsStayInTheirRegions guards against items that run at an endpoint of another region.
 func TestItemsStayInTheirRegions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newTestHost(wharfmemorystore.New(), "a", 1, 1)
-		h.limit("zone", "b")
+		h := newTestHost(wharfmemorystore.New(), "a", 1, 1, limit("zone", "b"))
 		submit(t, h, "job", 4)
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, len(h.engine.starts), 0)
+		assert.Equal(t, h.started(), 0)
 		h.kill()
 	})
 }
@@ -75,8 +85,7 @@
 				submit(t, a, "job", 4)
 				time.Sleep(500 * time.Millisecond)
 				a.kill()
-				b := newTestHost(store, "b", 1, 0)
-				b.limit(c.zone, c.regions...)
+				b := newTestHost(store, "b", 1, 0, limit(c.zone, c.regions...))
 				b.hear(wharfgossip.Peer{Host: "a", Zone: "zone", Incarnation: 1, Presence: wharfgossip.Ended})
 				time.Sleep(10 * time.Second)
 				jobs := b.jobs.OpenJobs()
--- a/wharf/coordination/wharfjobrunner/runner_test.go
+++ b/wharf/coordination/wharfjobrunner/runner_test.go
@@ -94,7 +94,9 @@
 	goroutines sync.WaitGroup
 }
 
-func newTestHost(store wharfrecords.Store, name string, incarnation uint64, endpoints int) *testHost {
+func newTestHost(
+	store wharfrecords.Store, name string, incarnation uint64, endpoints int, configure ...func(h *testHost),
+) *testHost {
 	h := &testHost{engine: &engine{runs: map[string]int{}}, fleet: wharffleet.New(name, "zone", func() {})}
 	h.hear()
 	var list []wharffleet.Endpoint
@@ -115,6 +117,9 @@
 		Allocator: newLocalAllocator(h.fleet),
 		Retention: 2 * time.Minute,
 	})
+	for _, f := range configure {
+		f(h)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	h.goroutines.Go(func() { _ = h.jobs.Serve(ctx) })
