--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	go test -count=1 $(if $(RED),-skip '^($(RED))$$') $(OTHERS)
 	bin/wharf-load demo
 	bin/wharf-load soak --first $(SEED) --seeds 2 --regressions --parallel 3
+	bin/wharf-load soak --first $(SEED) --seeds 1 --evacuations
 
 race:
 	go test -count=1 -race $(OTHERS)
