--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	go test -count=1 -p 1 $(if $(RED),-skip '^($(RED))$$') $(UNTRUSTED)
 	bin/wharf-load demo
 	bin/wharf-load soak --first $(SEED) --seeds 2 --regressions --parallel 3
+	bin/wharf-load soak --first $(SEED) --seeds 1 --evacuations
 
 race:
 	go test -count=1 -race $(OTHERS)
