Rejected callers are told when their organisation will have a token

What callers were told: the refill of one share.

Now a host tells when the hosts that it can reach will have a token between them, and after those whom it told to come back before, at the pace at which it admits (2 a second at least, if the rate is that high), at most 4 s and up to 0.1 s of jitter (0.3 s before). Estimates hold for 0.1 s now, after which hosts are asked; a second round asks all.

Log line `organisation over its rate` once a second with requests, rejections, calls to other hosts and tokens pulled.

--- a/wharf/coordination/wharflimiter/borrow.go
+++ b/wharf/coordination/wharflimiter/borrow.go
@@ -27,8 +27,10 @@
 	tokensPerLender = 2
 	// ampleLenders is the number of hosts asked that are only known to have had enough.
 	ampleLenders = 2
+	// estimatePeriod is the time for which a host's answer tells how many tokens it has.
+	estimatePeriod = 100 * time.Millisecond
 	// minPullTokens is the smallest fraction of a token worth pulling.
-	minPullTokens = 0.1
+	minPullTokens = 0.03
 )
 
 // lender is what a bucket knows of a host that it has asked for tokens.
@@ -111,26 +113,29 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	b.serve(now, l.hostCount)
-	b.rejectWaiters(now, l.hostCount, func(w *waiter) bool { return w.rounds >= maxRounds || now.Sub(w.arrived) > maxWait })
 	wanted := b.shortfall(now)
-	candidates = b.selectLenders(candidates, wanted, now)
-	obtainable, refill := b.share.Level(now), b.limit.Rate/float64(l.hostCount)
+	candidates, refill := b.selectLenders(candidates, wanted, now)
+	obtainable := b.share.Level(now)
 	for _, c := range candidates {
 		obtainable += c.tokens
-		refill += c.refill
 		if c.tokens < 0 {
 			obtainable = wanted + 1
 		}
 	}
-	if wanted <= 0 || obtainable < 1 || len(candidates) == 0 {
+	atMost := obtainable + levelUnit/2*float64(len(candidates))
+	if wanted <= 0 || atMost < 1 || len(candidates) == 0 {
 		b.borrowing = false
 		if len(b.waiters) > 0 && !b.awaitsAnswers() {
+			b.noteEmpty(obtainable, refill, now)
 			b.rejectWaiters(now, l.hostCount, func(*waiter) bool { return true })
-			missing := time.Duration((1 - obtainable) / refill * float64(time.Second))
-			b.emptyUntil = now.Add(min(maxEmptyPeriod, max(minEmptyPeriod, missing)))
 		}
 		return nil
 	}
+	b.rejectWaiters(now, l.hostCount, func(w *waiter) bool { return w.rounds >= maxRounds || now.Sub(w.arrived) > maxWait })
+	if wanted = b.shortfall(now); wanted <= 0 {
+		b.borrowing = false
+		return nil
+	}
 	for _, w := range b.waiters {
 		w.rounds++
 	}
@@ -147,45 +152,58 @@
 	return false
 }
 
-// selectLenders returns the candidates that have enough tokens to ask for and are not known to be silent.
-func (b *bucket) selectLenders(candidates []candidate, wanted float64, now time.Time) []candidate {
-	var selected []candidate
+// selectLenders returns the candidates that have enough tokens to ask for, and the refill of all that are not known to be
+// silent and of this share.
+func (b *bucket) selectLenders(candidates []candidate, wanted float64, now time.Time) (selected []candidate, refill float64) {
+	refill = b.share.Rate()
 	for _, c := range candidates {
-		if known := b.lenders[c.peer.Host]; known != nil && (known.pending || now.Before(known.silentUntil)) {
+		known := b.lenders[c.peer.Host]
+		if known != nil && now.Before(known.silentUntil) {
+			continue
+		}
+		refill += c.refill
+		if known != nil && known.pending {
 			continue
 		}
 		if c.tokens = b.estimate(c, now); c.tokens < 0 || c.tokens >= min(minPullTokens, wanted) {
 			selected = append(selected, c)
 		}
 	}
-	return selected
+	return selected, refill
 }
 
-// estimate returns how many tokens a host probably has now, or -1 if it is only known to have had enough.
+// estimate returns how many tokens a host probably has now, or -1 if that is not known: it had enough when it was asked, or
+// other hosts may have taken from it or given it some since.
 func (b *bucket) estimate(c candidate, now time.Time) float64 {
-	tokens, since := c.tokens, c.peer.LastHeard
-	if known := b.lenders[c.peer.Host]; known != nil && known.answered.After(since) {
-		switch {
-		case known.exhausted:
-			tokens, since = 0, known.answered
-		case tokens >= 0:
-			tokens = max(0, tokens-known.given)
-		}
+	tokens, heard := c.tokens, c.peer.LastHeard
+	if tokens >= 0 {
+		tokens += levelUnit / 2 // levels are rounded down
 	}
-	if tokens < 0 {
-		return -1
+	if tokens >= 0 && !heard.IsZero() {
+		tokens += c.refill * now.Sub(heard).Seconds()
 	}
-	if !since.IsZero() {
-		tokens += c.refill * now.Sub(since).Seconds()
+	known := b.lenders[c.peer.Host]
+	if known == nil || now.Sub(known.answered) > estimatePeriod {
+		return tokens
+	}
+	if known.exhausted {
+		return c.refill * now.Sub(known.answered).Seconds()
+	}
+	if tokens >= 0 && known.answered.After(heard) {
+		return max(0, tokens-known.given)
 	}
 	return tokens
 }
 
 // divide divides the wanted tokens among the hosts that have most.
 func (b *bucket) divide(candidates []candidate, wanted float64, now time.Time) []loan {
+	asked := ampleLenders
+	if len(b.waiters) > 0 && b.waiters[0].rounds > 1 {
+		asked = maxPullPeers // the first ones had too little
+	}
 	for i := range candidates {
 		if candidates[i].tokens < 0 {
-			candidates[i].tokens = wanted / ampleLenders
+			candidates[i].tokens = wanted / float64(asked)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.tokens, a.tokens) })
@@ -202,6 +220,7 @@
 			b.lenders[c.peer.Host] = known
 		}
 		known.pending = true
+		b.usage.calls++
 		asked := loan{Loan{Organisation: b.name, Wanted: max(minPullTokens, wanted*c.tokens/total)}, c.peer}
 		asked.Claims, known.claimSince = b.share.Claim(asked.Wanted, c.refill, known.claimSince, now)
 		loans = append(loans, asked)
@@ -255,6 +274,7 @@
 	} else {
 		known.answered, known.given, known.exhausted = now, tokens, tokens < asked.Wanted
 		b.share.Deposit(tokens, now)
+		b.usage.pulled += tokens
 		for _, w := range b.waiters {
 			w.decision.Pulled += tokens
 		}
@@ -310,7 +330,9 @@
 	now := time.Now()
 	for _, b := range l.buckets {
 		b.demandRate = demandSmoothing*b.demandRate + (1-demandSmoothing)*b.requests/prefetchInterval.Seconds()
-		b.requests = 0
+		b.admittedRate = demandSmoothing*b.admittedRate + (1-demandSmoothing)*b.admitted/prefetchInterval.Seconds()
+		b.requests, b.admitted = 0, 0
+		b.logUsage(now, l.hostCount)
 		if !b.borrowing && b.shortfall(now) > 0 && !now.Before(b.emptyUntil) {
 			b.borrowing = true
 			go l.borrow(context.WithoutCancel(ctx), b)
--- a/wharf/coordination/wharflimiter/bucket.go
+++ b/wharf/coordination/wharflimiter/bucket.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"wagtailwharf.example/wharf/state/wharfroute"
 	"wagtailwharf.example/wharf/state/wharfshare"
 )
@@ -21,6 +23,14 @@
 	// The tokens that other hosts refill meanwhile are had in one pull; requests get them within a tenth of a second.
 	minEmptyPeriod = 15 * time.Millisecond
 	maxEmptyPeriod = 100 * time.Millisecond
+	// maxPromise is the longest delay until a rejected caller should come back, but for the jitter, and minPromisedRate the
+	// part of a rate that callers at one host are always expected to get.
+	maxPromise      = 4 * time.Second
+	minPromisedRate = 2.0
+	// spareToken is the part of a token that rejected callers wait for beside one, since levels are not exactly known.
+	spareToken = 0.15
+	// usagePeriod is the time between two log lines of an organisation.
+	usagePeriod = time.Second
 	// maxWait and maxRounds bound how long and how often other hosts are asked for one request. Together with a last
 	// round, maxWait is less than the time in which an allocator has to answer.
 	maxWait   = 60 * time.Millisecond
@@ -35,9 +45,22 @@
 	requests   float64 // since the last call of updateDemand
 	demandRate float64 // smoothed, in requests per second
 	emptyUntil time.Time
-	waiters    []*waiter // in order of arrival
-	borrowing  bool      // other hosts are being asked
-	lenders    map[string]*lender
+	tokenAt    time.Time // when this host can get a token again, as found when it last got none
+	promised   time.Time // when the caller that was rejected last should come back
+	// admitted is the number of admitted requests since the last call of updateDemand, and admittedRate its smoothed rate.
+	admitted, admittedRate float64
+	usage                  usage
+	waiters                []*waiter // in order of arrival
+	borrowing              bool      // other hosts are being asked
+	lenders                map[string]*lender
+}
+
+// usage counts what has become of an organisation's requests at this host since a time.
+type usage struct {
+	since              time.Time
+	requests, rejected int
+	calls              int // to other hosts
+	pulled             float64
 }
 
 // waiter is a request that waits for tokens of other hosts.
@@ -66,6 +89,7 @@
 // serve admits waiting requests as long as there are tokens.
 func (b *bucket) serve(now time.Time, hostCount int) {
 	for len(b.waiters) > 0 && b.share.Take(now) {
+		b.admitted++
 		b.decide(b.waiters[0], Decision{Admitted: true, Level: b.share.Level(now), HostCount: hostCount})
 		b.waiters = b.waiters[1:]
 	}
@@ -109,7 +133,41 @@
 	return claimed + b.share.Withdraw(max(0, min(loan.Wanted-claimed, b.share.Level(now)-kept)), now)
 }
 
-// retryAfter returns when a rejected caller should come back.
+// logUsage logs once a second how an organisation is served of which requests were rejected.
+func (b *bucket) logUsage(now time.Time, hostCount int) {
+	if now.Sub(b.usage.since) < usagePeriod {
+		return
+	}
+	if u := b.usage; u.rejected > 0 {
+		klog.InfoS("organisation over its rate", "organisation", b.name, "requests", u.requests, "rejected", u.rejected,
+			"calls", u.calls, "pulled", u.pulled, "level", b.share.Level(now), "share-rate", b.share.Rate(),
+			"holders", hostCount, "token-in", max(0, b.tokenAt.Sub(now)).String())
+	}
+	b.usage = usage{since: now}
+}
+
+// noteEmpty counts that this host can get no more than a part of a token now, and how much is refilled where it can get it.
+func (b *bucket) noteEmpty(obtainable, refill float64, now time.Time) {
+	missing := time.Duration(min(maxPromise.Seconds(), max(0, 1+spareToken-obtainable)/max(refill, 1e-9)) * float64(time.Second))
+	b.tokenAt = now.Add(missing)
+	b.emptyUntil = now.Add(min(maxEmptyPeriod, max(minEmptyPeriod, missing)))
+}
+
+// retryAfter returns when a rejected caller should come back: when there will be a token, and after those that were
+// rejected before. Beyond maxPromise, callers are spread over that time.
 func (b *bucket) retryAfter(now time.Time) time.Duration {
-	return max(minRetryAfter, b.share.Wait(now)) + rand.N(retryAfterJitter)
+	b.usage.rejected++
+	earliest := now.Add(minRetryAfter)
+	if b.tokenAt.After(earliest) {
+		earliest = b.tokenAt
+	}
+	at := b.promised.Add(time.Duration(float64(time.Second) / max(b.share.Rate(), b.admittedRate, min(b.limit.Rate, minPromisedRate))))
+	switch {
+	case !b.promised.After(now) || at.Before(earliest):
+		at = earliest
+	case at.Sub(now) > maxPromise:
+		return max(earliest.Sub(now), minRetryAfter+rand.N(maxPromise-minRetryAfter))
+	}
+	b.promised = at
+	return at.Sub(now) + rand.N(retryAfterJitter)
 }
--- a/wharf/coordination/wharflimiter/limiter.go
+++ b/wharf/coordination/wharflimiter/limiter.go
@@ -39,7 +39,7 @@
 	overdraft = 1.0
 	// minRetryAfter and retryAfterJitter are the minimum delay suggested to a rejected caller, and its random part.
 	minRetryAfter    = 200 * time.Millisecond
-	retryAfterJitter = 300 * time.Millisecond
+	retryAfterJitter = 100 * time.Millisecond
 )
 
 // Options configures a Limiter.
@@ -273,11 +273,13 @@
 	}
 	now := time.Now()
 	b.requests++
+	b.usage.requests++
 	b.serve(now, l.hostCount)
 	d := Decision{HostCount: l.hostCount}
 	d.Admitted = b.share.Take(now) || a.Continues && b.share.Overdraw(overdraft, now)
 	d.Level = b.share.Level(now)
 	if d.Admitted {
+		b.admitted++
 		return d, nil, nil
 	}
 	if now.Before(b.emptyUntil) {
--- a/wharf/state/wharfshare/share.go
+++ b/wharf/state/wharfshare/share.go
@@ -137,6 +137,11 @@
 	return s.level + s.surplus.older + s.surplus.newer
 }
 
+// Rate returns this host's share of the rate.
+func (s *Share) Rate() float64 {
+	return s.rate
+}
+
 // Burst returns this host's share of the burst.
 func (s *Share) Burst() float64 {
 	return s.burst
