--- a/wharf/protocol/wharfhostsettings/settings.go
+++ b/wharf/protocol/wharfhostsettings/settings.go
@@ -90,8 +90,8 @@
 	return size, s.MemoryMB << 20 / reserveShare
 }
 
-// MaxConnections returns the largest number of callers' connections for a process that may open openFiles descriptors. A
-// third of them is left for endpoints, other hosts, the store and files.
+// MaxConnections returns the largest number of callers' connections for a process that may open openFiles descriptors:
+// five eighths. The others are for endpoints, other hosts, the store and files.
 func (s *Settings) MaxConnections(openFiles int) int {
 	if s.Limits.MaxConnections > 0 {
 		return s.Limits.MaxConnections
@@ -99,7 +99,7 @@
 	if s.Limits.MaxOpenFiles > 0 {
 		openFiles = min(openFiles, s.Limits.MaxOpenFiles)
 	}
-	return min(openFiles*2/3, int(s.MemoryMB<<20/connectionMemoryShare/connectionBytes))
+	return min(openFiles*5/8, int(s.MemoryMB<<20/connectionMemoryShare/connectionBytes))
 }
 
 // PeerAddress returns the address at which other hosts reach this host by RPC and by UDP.
--- a/wharf/protocol/wharfsettings/settings.go
+++ b/wharf/protocol/wharfsettings/settings.go
@@ -117,7 +117,7 @@
 	BodyTimeout      Duration `toml:"body-time"`
 	BodyRate         int64    `toml:"body-rate"`       // least bytes per second of a body
 	MaxOpenFiles     int      `toml:"max-open-files"`  // of the process; 0 for what the system allows it
-	MaxConnections   int      `toml:"max-connections"` // of callers; 0 for two thirds of MaxOpenFiles
+	MaxConnections   int      `toml:"max-connections"` // of callers; 0 for five eighths of MaxOpenFiles
 	MaxAttempts      int      `toml:"attempts"`
 	RetryShare       float64  `toml:"retry-share"`
 }
@@ -180,8 +180,8 @@
 	return uploadShare*s.Limits.MaxUploadBytes + bodyShare*s.Limits.MaxBodyBytes, smallBodyReserve
 }
 
-// MaxConnections returns the largest number of callers' connections for a process that may open openFiles descriptors. A
-// third of them is left for endpoints, other hosts, the platform and files.
+// MaxConnections returns the largest number of callers' connections for a process that may open openFiles descriptors:
+// five eighths. The others are for endpoints, other hosts, the platform and files.
 func (s *Settings) MaxConnections(openFiles int) int {
 	if s.Limits.MaxConnections > 0 {
 		return s.Limits.MaxConnections
@@ -189,7 +189,7 @@
 	if s.Limits.MaxOpenFiles > 0 {
 		openFiles = min(openFiles, s.Limits.MaxOpenFiles)
 	}
-	return openFiles * 2 / 3
+	return openFiles * 5 / 8
 }
 
 // Read reads and validates a settings file.
--- a/wharf/state/wharfmemory/account.go
+++ b/wharf/state/wharfmemory/account.go
@@ -34,13 +34,14 @@
 	ended    atomic.Int64
 	mu       sync.Mutex
 	arriving map[*Reservation]struct{}
+	refused  map[*Reservation]struct{}
 }
 
 // New returns an account of size bytes and a reserve for small bodies beside them.
 func New(size, reserve int64) *Account {
 	return &Account{
 		size: size, shared: semaphore.NewWeighted(size), reserve: semaphore.NewWeighted(reserve),
-		arriving: map[*Reservation]struct{}{},
+		arriving: map[*Reservation]struct{}{}, refused: map[*Reservation]struct{}{},
 	}
 }
 
@@ -149,10 +150,39 @@
 	return ended
 }
 
-// EndStalled ends the body that has been stalled for longest, so that its connection is closed. It reports whether there was
-// one.
+// refusedTime is how long the client of a refused body has at least to read the refusal.
+const refusedTime = 100 * time.Millisecond
+
+// OpenRefused returns an empty reservation for the rest of a body that was refused and is read for its client's sake alone.
+func (a *Account) OpenRefused(end func()) *Reservation {
+	r := &Reservation{account: a, end: end, markedAt: time.Now()}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused[r] = struct{}{}
+	return r
+}
+
+// EndStalled ends a body so that its connection is closed: the one that was refused first, or else the one that has been
+// stalled for longest. It reports whether there was one.
 func (a *Account) EndStalled() bool {
-	return a.endStalled(1, nil)
+	return a.endRefused() || a.endStalled(1, nil)
+}
+
+func (a *Account) endRefused() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var first *Reservation
+	for r := range a.refused {
+		if first == nil || r.markedAt.Before(first.markedAt) {
+			first = r
+		}
+	}
+	if first == nil || time.Since(first.markedAt) < refusedTime {
+		return false
+	}
+	delete(a.refused, first)
+	first.end()
+	return true
 }
 
 // Received records that a part of the body has arrived.
@@ -169,6 +199,7 @@
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
 	delete(r.account.arriving, r)
+	delete(r.account.refused, r)
 }
 
 // Ended reports whether the account has ended the body.
--- a/wharf/state/wharfmemory/account_test.go
+++ b/wharf/state/wharfmemory/account_test.go
@@ -101,3 +101,28 @@
 		assert.Assert(t, errors.Is(moving.Grow(t.Context(), size), ErrExhausted) && !moving.Ended(), "a whole body is kept")
 	})
 }
+
+// TestRefusedBodiesGiveWayFirst guards against clients that have been refused and keep the connections from others.
+func TestRefusedBodiesGiveWayFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(size, reserve)
+		stalled := a.Open(func() {})
+		assert.NilError(t, stalled.Grow(t.Context(), 1))
+		time.Sleep(time.Second)
+		var ended []int
+		for i := range 3 {
+			r := a.OpenRefused(func() { ended = append(ended, i) })
+			time.Sleep(refusedTime / 2)
+			if i == 1 {
+				r.Release()
+			}
+		}
+		assert.Assert(t, a.EndStalled() && !stalled.Ended())
+		assert.DeepEqual(t, ended, []int{0})
+		assert.Assert(t, a.EndStalled() && stalled.Ended(), "the last one has had too little time")
+		assert.Assert(t, !a.EndStalled())
+		time.Sleep(refusedTime)
+		assert.Assert(t, a.EndStalled())
+		assert.DeepEqual(t, ended, []int{0, 2})
+	})
+}
--- a/wharf/transport/wharfbody/reader.go
+++ b/wharf/transport/wharfbody/reader.go
@@ -213,10 +213,13 @@
 	return false
 }
 
-// Linger reads on after a response, until the caller has had time to read it or closes the connection.
+// Linger reads on after a response, until the caller has had time to read it or closes the connection. It ends early if there
+// are too many connections.
 func (b *Reader) Linger(w http.ResponseWriter, r *http.Request) {
 	connection := http.NewResponseController(w)
 	_ = connection.Flush()
 	_ = connection.SetReadDeadline(time.Now().Add(lingerTime))
+	rest := b.options.Account.OpenRefused(func() { _ = connection.SetReadDeadline(time.Now()) })
+	defer rest.Release()
 	_, _ = io.CopyN(io.Discard, r.Body, lingerBytes) // the connection is closed either way
 }
