--- a/wharf/coordination/wharflimiter/model_test.go
+++ b/wharf/coordination/wharflimiter/model_test.go
@@ -121,8 +121,8 @@
 // close ends all that runs.
 func (m *model) close() {
 	m.cancel()
-	m.work.Wait()
 	time.Sleep(time.Second) // calls that limiters make for nobody any more
+	m.work.Wait()
 }
 
 // drawHost returns a host by weight, of all or of those that skewed callers use.
