--- a/wharf/transport/wharfbody/reader.go
+++ b/wharf/transport/wharfbody/reader.go
@@ -108,9 +108,9 @@
 	defer a.memory.Arrived()
 	stop := context.AfterFunc(ctx, a.end)
 	err := a.read(r.Context())
-	stop()
+	stopped := stop()
 	switch {
-	case err == nil:
+	case err == nil && stopped:
 	case a.memory.Ended():
 		err = wharfmemory.ErrExhausted
 	case ctx.Err() != nil:
