Shares count no more than the time that passed when the wall clock is set; answers of hosts are forgotten

Slots of overflow go by the wall clock, so that a step forward would have counted up to two seconds of the rate at once, at lender and borrower. They are limited by the monotonic time that passed now (no test: synctest has no wall clock that can be set). What is known of a host that was asked for tokens is dropped a minute after its last answer, so that replaced hosts take no memory.

--- a/wharf/coordination/wharflimiter/borrow.go
+++ b/wharf/coordination/wharflimiter/borrow.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,6 +28,8 @@
 	tokensPerLender = 2
 	// ampleLenders is the number of hosts asked that are only known to have had enough.
 	ampleLenders = 2
+	// lenderMemory is how long a host's last answer is remembered.
+	lenderMemory = time.Minute
 	// estimatePeriod is the time for which a host's answer tells how many tokens it has.
 	estimatePeriod = 100 * time.Millisecond
 	// minPullTokens is the smallest fraction of a token worth pulling.
@@ -333,6 +336,9 @@
 		b.admittedRate = demandSmoothing*b.admittedRate + (1-demandSmoothing)*b.admitted/prefetchInterval.Seconds()
 		b.requests, b.admitted = 0, 0
 		b.logUsage(now, l.hostCount)
+		maps.DeleteFunc(b.lenders, func(_ string, known *lender) bool {
+			return !known.pending && now.Sub(known.answered) > lenderMemory && now.After(known.silentUntil)
+		})
 		if !b.borrowing && b.shortfall(now) > 0 && !now.Before(b.emptyUntil) {
 			b.borrowing = true
 			go l.borrow(context.WithoutCancel(ctx), b)
--- a/wharf/state/wharfshare/overflow.go
+++ b/wharf/state/wharfshare/overflow.go
@@ -37,9 +37,11 @@
 	}
 }
 
-// add counts a rate from one time to another one, the present.
+// add counts a rate from one time to another one, the present. If the wall clock was set meanwhile, no more is counted than
+// for the time that has passed.
 func (s *slots) add(rate float64, from, now time.Time) {
 	s.advance(now)
+	left := max(0, rate*now.Sub(from).Seconds())
 	for slot := max(slotAt(from), s.last-slotCount+1); slot <= s.last; slot++ {
 		start, end := time.Unix(0, slot*int64(slotLength)), time.Unix(0, (slot+1)*int64(slotLength))
 		if start.Before(from) {
@@ -48,7 +50,8 @@
 		if end.After(now) {
 			end = now
 		}
-		tokens := rate * max(0, end.Sub(start).Seconds())
+		tokens := min(left, rate*max(0, end.Sub(start).Seconds()))
+		left -= tokens
 		s.tokens[slot%slotCount] += tokens
 		s.total += tokens
 	}
