--- a/wagtailwharfd/wharfhost/cold.go
+++ b/wagtailwharfd/wharfhost/cold.go
@@ -25,7 +25,7 @@
 	h.updateSenders()
 }
 
-// updateSenders tells the fleet which hosts hold shares of the limits of cold endpoints, once this host knows them all.
+// updateSenders passes the fleet the hosts that hold shares of the limits of cold endpoints, once this host knows them all.
 func (h *Host) updateSenders() {
 	if h.limitsCold.Load() && h.membership.hostCount() > 0 {
 		h.fleet.SetSenders(h.membership.hostsByZone(time.Now()))
--- a/wagtailwharfd/wharfhost/host.go
+++ b/wagtailwharfd/wharfhost/host.go
@@ -155,7 +155,7 @@
 	})
 }
 
-// newDirectory sets up the directory, which tells the fleet of the endpoints.
+// newDirectory sets up the directory, which passes the endpoints on to the fleet.
 func (h *Host) newDirectory() {
 	h.directory = wharfdirectory.New(wharfdirectory.Options{
 		Store: h.store, Decoder: wharfcatalog.New(), FetchSnapshot: h.fetchSnapshot, OnChange: h.onViewChange,
--- a/wagtailwharfd/wharfhost/members.go
+++ b/wagtailwharfd/wharfhost/members.go
@@ -221,7 +221,7 @@
 }
 
 // hostsByZone returns the names of the hosts that are not lost, including this one, whether they are alive or not. Rows
-// that this host can't read tell of no loss: hosts that are cut off from the store keep the list that they had.
+// that this host can't read are no evidence of a loss: hosts that are cut off from the store keep the list that they had.
 func (m *membership) hostsByZone(now time.Time) map[string][]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/wagtailwharfd/wharfservice/side.go
+++ b/wagtailwharfd/wharfservice/side.go
@@ -39,7 +39,7 @@
 }
 
 const (
-	// defaultOpenFiles is assumed if the system does not tell its limit.
+	// defaultOpenFiles is assumed if the system does not report its limit.
 	defaultOpenFiles = 1024
 	// maxOpenFiles stands for a limit of infinity.
 	maxOpenFiles = 1 << 20
--- a/wharf-load/wharfcapacity/allocation.go
+++ b/wharf-load/wharfcapacity/allocation.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// sendZoneLoads tells the loads on the zone's endpoints to the allocators of the other zones, if this host is an allocator.
+// sendZoneLoads sends the loads on the zone's endpoints to the allocators of the other zones, if this host is an allocator.
 func (h *host) sendZoneLoads() {
 	h.sim.clock.schedule(zoneLoadsInterval, h.sendZoneLoads)
 	if !slices.Contains(h.sim.allocatorsOf(h.zone), h) {
--- a/wharf-load/wharfcapacity/model.go
+++ b/wharf-load/wharfcapacity/model.go
@@ -38,7 +38,7 @@
 	PauseDuration time.Duration // of a pause, on average
 	EventWork     time.Duration // between two events
 	ByCost        bool          // hosts weigh endpoints by their learned paces
-	// Allocators says that hosts ask an allocator of their zone for each slot, instead of telling all hosts each change.
+	// Allocators says that hosts ask an allocator of their zone for each slot, instead of sending each change to all hosts.
 	Allocators bool
 	// AllocatorsLostAt is when other hosts take the allocators' place, knowing no loads and no paces; 0 for never.
 	AllocatorsLostAt time.Duration
--- a/wharf/coordination/wharfallocator/allocator.go
+++ b/wharf/coordination/wharfallocator/allocator.go
@@ -63,7 +63,7 @@
 	Online   int    // online requests and batch items that ran there
 	Batch    int
 	Suspect  bool
-	// AllCold tells of a refusal as Busy that every endpoint is cold and gets no more requests of the host at present.
+	// AllCold says of a refusal as Busy that every endpoint is cold and gets no more requests of the host at present.
 	// Hosts of older builds know Busy only.
 	AllCold bool
 }
--- a/wharf/coordination/wharfdirectory/cold.go
+++ b/wharf/coordination/wharfdirectory/cold.go
@@ -30,7 +30,7 @@
 	return nil
 }
 
-// coldUntil returns until when an endpoint stays cold, given the remaining time that a host was told of, and what was
+// coldUntil returns until when an endpoint stays cold, given the remaining time that was reported, and what was
 // known of it before. The caller holds d.mu.
 func (d *Directory) coldUntil(e wharffleet.Endpoint, remaining time.Duration, before registration) time.Time {
 	sameIncarnation := before.endpoint.ID == e.ID && before.endpoint.Born.Equal(e.Born)
@@ -52,7 +52,7 @@
 	return until.Add(coldSlack)
 }
 
-// register records an endpoint of which a host was told, with the version of its row or 0 if that is not known, and
+// register records a reported endpoint, with the version of its row or 0 if that is not known, and
 // reports whether the view changes. The caller holds d.mu.
 func (d *Directory) register(e wharffleet.Endpoint, remaining time.Duration, version uint64) (changed bool) {
 	e.ColdRemaining = 0
@@ -86,7 +86,7 @@
 // addColdness adds the remaining times of the cold endpoints, and the versions of all registrations, to a snapshot for a
 // peer. Clocks differ, so that no time of day is sent. The caller holds d.mu.
 func (d *Directory) addColdness(s *Snapshot) {
-	s.TellsCold, s.Cold, s.Written = true, map[string]time.Duration{}, map[string]uint64{}
+	s.ReportsCold, s.Cold, s.Written = true, map[string]time.Duration{}, map[string]uint64{}
 	for id, r := range d.endpoints {
 		s.Written[id] = r.version
 		if left := time.Until(r.coldUntil); left > 0 {
@@ -97,7 +97,7 @@
 
 // remaining returns how much longer an endpoint of a peer's snapshot stays cold.
 func (s *Snapshot) remaining(id string) time.Duration {
-	if !s.TellsCold {
+	if !s.ReportsCold {
 		return wharffleet.ColdUnknown
 	}
 	return s.Cold[id]
--- a/wharf/coordination/wharfdirectory/cold_test.go
+++ b/wharf/coordination/wharfdirectory/cold_test.go
@@ -102,13 +102,13 @@
 		assert.Equal(t, f.cold(other, "a"), 20*time.Second)
 		assert.Equal(t, f.cold(other, "b"), time.Duration(0))
 		snapshot.EndpointsVersion++
-		snapshot.TellsCold, snapshot.Cold = false, nil
+		snapshot.ReportsCold, snapshot.Cold = false, nil
 		snapshot.Endpoints = append([]wharffleet.Endpoint{{ID: "c"}}, snapshot.Endpoints...)
 		other.Merge(snapshot)
 		assert.Equal(t, f.cold(other, "a"), 20*time.Second, "an older build does not tell")
 		assert.Equal(t, f.cold(other, "c"), (9*time.Second + coldSlack).Round(time.Second), "a new endpoint of which nothing is known has just started")
 		snapshot.EndpointsVersion++
-		snapshot.TellsCold = true
+		snapshot.ReportsCold = true
 		other.Merge(snapshot)
 		assert.Equal(t, f.cold(other, "a"), time.Duration(0))
 	})
--- a/wharf/coordination/wharfdirectory/directory.go
+++ b/wharf/coordination/wharfdirectory/directory.go
@@ -43,9 +43,9 @@
 	outageThreshold = 1800 * time.Millisecond
 	// peerSyncInterval is the time between two requests to peers.
 	peerSyncInterval = 400 * time.Millisecond
-	// maxEqualSyncs is the number of requests in an outage to peers that know as much by the one version that hosts tell each
-	// other, the older one of both tables: they may know more of one table, such as the last row before the outage. Word of it
-	// reaches nearly all hosts of a large fleet by as many requests of each.
+	// maxEqualSyncs is the number of requests in an outage to peers that report the same version. Hosts report the older version
+	// of both tables, so such a peer may have newer rows of one of them, such as the last row before the outage. As many
+	// requests of each host spread that row to nearly all hosts of a large fleet.
 	maxEqualSyncs = 10
 )
 
@@ -395,7 +395,7 @@
 }
 
 // mergeConfiguration applies the configuration and the evacuated zones of a peer's snapshot if they are newer than the local
-// ones, and reports whether the view changes. A peer of an older build does not tell the zones, nor what its build does not know
+// ones, and reports whether the view changes. A peer of an older build does not send the zones, nor what its build does not know
 // of the configuration, so that neither is used. The caller holds d.mu.
 func (d *Directory) mergeConfiguration(s Snapshot) (changed bool) {
 	if s.Configuration == nil || s.Evacuations == nil || !d.configurationSync.advance(s.ConfigurationVersion, s.Age) {
--- a/wharf/coordination/wharfdirectory/view.go
+++ b/wharf/coordination/wharfdirectory/view.go
@@ -40,10 +40,10 @@
 	EndpointsVersion     uint64
 	Age                  time.Duration      // time since the store confirmed the state
 	Admitted             []wharfcall.Origin // versions at which streams may begin
-	// Cold is how much longer each cold endpoint stays cold. A host of an older build sends none, and leaves TellsCold
+	// Cold is how much longer each cold endpoint stays cold. A host of an older build sends none, and leaves ReportsCold
 	// unset.
-	Cold      map[string]time.Duration
-	TellsCold bool
+	Cold        map[string]time.Duration
+	ReportsCold bool
 	// Written is the store version of each endpoint's row.
 	Written map[string]uint64
 	// Evacuations is the set of evacuated zones at ConfigurationVersion. It is nil in the snapshot of a host that does not
--- a/wharf/coordination/wharflimiter/borrow.go
+++ b/wharf/coordination/wharflimiter/borrow.go
@@ -30,13 +30,13 @@
 	ampleLenders = 2
 	// lenderMemory is how long a host's last answer is remembered.
 	lenderMemory = time.Minute
-	// estimatePeriod is the time for which a host's answer tells how many tokens it has.
+	// estimatePeriod is the time for which a host's answer is used as its number of tokens.
 	estimatePeriod = 100 * time.Millisecond
 	// minPullTokens is the smallest fraction of a token worth pulling.
 	minPullTokens = 0.03
 )
 
-// lender is what a bucket knows of a host that it has asked for tokens.
+// lender is the state of a host that was asked for tokens.
 type lender struct {
 	answered    time.Time
 	given       float64 // by its last answer
@@ -290,7 +290,7 @@
 }
 
 // candidates returns the hosts that may be asked for tokens: the live ones of a small fleet with the levels that they
-// have told, or in a large fleet allocators in random order, whose levels are not known and set to -1.
+// have reported, or in a large fleet allocators in random order, whose levels are not known and set to -1.
 func (l *Limiter) candidates(organisation string) []candidate {
 	allocators := l.options.Allocators()
 	l.mu.Lock()
--- a/wharf/state/wharfevacuation/set.go
+++ b/wharf/state/wharfevacuation/set.go
@@ -59,7 +59,7 @@
 }
 
 // Advance returns the set after changes of the store up to a version, in the order of their versions. Changes that are
-// older than what the set knows of their zone have no effect.
+// older than the set's newest change of their zone have no effect.
 func (s *Set) Advance(version uint64, changes []Change) *Set {
 	next := s.copy(version)
 	for _, c := range changes {
@@ -87,7 +87,7 @@
 	return next
 }
 
-// Merge returns the newer of two sets, with what the older one knows of ended evacuations.
+// Merge returns the newer of two sets, with the ended evacuations of the older one.
 func (s *Set) Merge(other *Set) *Set {
 	if other == nil || s != nil && other.Version < s.Version {
 		return s
@@ -98,7 +98,7 @@
 }
 
 // endMissing marks the evacuations of an older set that this one does not have as ended at a version, and keeps what the
-// older set knows of ended ones.
+// older set has of ended ones.
 func (s *Set) endMissing(older *Set, version uint64) {
 	if older == nil {
 		return
--- a/wharf/state/wharffleet/cold.go
+++ b/wharf/state/wharffleet/cold.go
@@ -30,7 +30,7 @@
 	Zone      string
 	Cold      bool
 	Cause     ColdCause
-	Remaining time.Duration // until it is warm, as far as its registration tells
+	Remaining time.Duration // until it is warm, as its registration says
 	Limit     float64       // requests per second that it tolerates from all hosts
 	Share     int           // requests that this host may send in any second
 }
@@ -112,7 +112,7 @@
 }
 
 // coldRoomFor returns the number of requests that the sender of a request may send to a cold endpoint now: this host,
-// or the requester, which tells where it may send.
+// or the requester, which names the endpoints to which it may send.
 func (f *Fleet) coldRoomFor(r *Request, e *entry, now time.Time) int {
 	if r.Requester == nil {
 		return f.coldRoom(e, now)
@@ -188,7 +188,7 @@
 	return endpoints, f.cold.kept
 }
 
-// RampUp returns the time until the first cold endpoint of a service is warm, as far as registrations tell, or 0.
+// RampUp returns the time until the first cold endpoint of a service is warm, as registrations say, or 0.
 func (f *Fleet) RampUp(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -24,7 +24,7 @@
 	Unsettled bool
 }
 
-// ColdUnknown is the value of Endpoint.ColdRemaining if the registration does not tell.
+// ColdUnknown is the value of Endpoint.ColdRemaining if the registration does not say.
 const ColdUnknown time.Duration = -1
 
 // Load is one host's load on an endpoint: its running online requests and batch items.
--- a/wharf/state/wharffleet/pick.go
+++ b/wharf/state/wharffleet/pick.go
@@ -78,7 +78,7 @@
 	chosen         *entry
 }
 
-// choose picks an endpoint at random by weight. If it finds none, it returns the error that tells why.
+// choose picks an endpoint at random by weight. If it finds none, it returns the reason as an error.
 func (f *Fleet) choose(r Request, now time.Time) (*entry, error) {
 	s := f.services[r.Service]
 	if s == nil {
--- a/wharf/state/wharfpace/pace.go
+++ b/wharf/state/wharfpace/pace.go
@@ -14,14 +14,14 @@
 	// minGaps is the smallest weight, in times between two events, from which a pace is used: two average answers, so that
 	// a pause of some hundred ms in one of them does not make the endpoint slow.
 	minGaps = 300
-	// maxWeight bounds the weight, so that five answers tell most of a change of speed, and a pace is forgotten after one and
+	// maxWeight bounds the weight, so that five answers show most of a change of speed, and a pace is forgotten after one and
 	// a half half-lives without an answer.
 	maxWeight = 800
 	// maxSampleGaps bounds the gaps of a sample: more than an endpoint's answers have within unsentTime.
 	maxSampleGaps = 100_000
 	// maxEndpoints bounds the number of endpoints whose paces are kept.
 	maxEndpoints = 4096
-	// unsentTime is how long samples wait to be told to another host; older ones are dropped. Hosts that place requests
+	// unsentTime is how long samples wait to be sent to another host; older ones are dropped. Hosts that place requests
 	// call an allocator several times within it.
 	unsentTime = 3 * time.Second
 )
@@ -42,7 +42,7 @@
 	services  map[string]*service
 	count     int               // of endpoints in all services
 	cleanedAt time.Time         // when old estimates were last removed
-	unsent    map[string]unsent // by endpoint, not told to other hosts yet
+	unsent    map[string]unsent // by endpoint, not sent to other hosts yet
 	meanError float64           // see Stats
 }
 
@@ -69,7 +69,7 @@
 	}
 }
 
-// Receive adds what another host has observed. Samples of endpoints in other zones are told on to these zones.
+// Receive adds what another host has observed. Samples of endpoints in other zones are forwarded to these zones.
 func (p *Paces) Receive(samples []Sample) {
 	if p == nil {
 		return
