--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -137,8 +137,8 @@
 	's/if errors\.Is\(err, errUnanswered\) \{\n\t\t\tcontinue/if errors.Is(err, errUnanswered) {\n\t\t\tbreak/' $slots TestSecondAllocatorAnswersWhenTheFirstDoesNot
 mutant slot-of-leaver-kept wharf/coordination/wharfallocator/allocator.go \
 	's/\t\tplacement\.Release\(\)\n//' $slots TestSlotOfACallerThatHasLeftIsGivenBack
-mutant stalls-not-told wharf/state/wharffleet/fleet.go \
-	's/e\.stalled \+= load\.Stalled - before\.Stalled//' $fleet TestHostsShareStalls
+mutant stalls-not-told wharf/state/wharffleet/peer.go \
+	's/e\.stalled \+= sign \* load\.Stalled//' $fleet TestHostsShareStalls
 mutant probed-by-requests wharf/state/wharffleet/health.go \
 	's/if e\.unreachable \{/if false {/' ./wharf/transport/wharfprober TestUnreachableEndpointGetsNoRequestUntilItIsBack
 mutant ended-revived wharf/coordination/wharfgossip/digest.go \
@@ -206,7 +206,7 @@
 mutant owner-without-store-keeps-jobs wharf/coordination/wharfjobrunner/adopt.go \
 	's/return "owner can.t reach the store"/return ""/' ./wharf/coordination/wharfjobrunner TestJobsOfHostThatCanNotReach
 mutant any-version-continues wharf/state/wharffleet/pick.go \
-	's/sel\.Version != "" && e\.Version != sel\.Version \|\| //' $host TestStreamResumedWithinOneAnswer
+	's/\(sel\.Version == "" \|\| e\.Version == sel\.Version\)/true/' $host TestStreamResumedWithinOneAnswer
 mutant items-at-any-version wharf/coordination/wharfjobrunner/start.go \
 	's/Version: origin\.Version, Batch: true/Batch: true/; s/i\.events > 0 && placement\.Endpoint\.Version != i\.origin\.Version/false/' $host TestBatchItemStaysAtTheVersion
 mutant streams-not-recorded wharf/coordination/wharforigins/origins.go \
