--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -274,8 +274,8 @@
 	's/f\.coldRoom\(e, now\) == 0 \{/false {/' $fleet TestGrantsOfAnyAllocators
 mutant cold-limit-ignored wharf/state/wharffleet/pick.go \
 	's/ \|\| cold && sel\.keepsFrom\(f, e\)//' $host 'TestColdEndpointsGet|TestRestartedHostsKeep'
-mutant cold-doubts-ignored wharf/state/wharffleet/cold.go \
-	's/!e\.doubtedAt\.IsZero\(\) \|\| e\.Unsettled/e.Unsettled/' $fleet TestDoubtedEndpoint
+mutant cold-restarts-ignored wharf/state/wharffleet/cold.go \
+	's/!e\.restartSuspectedAt\.IsZero\(\) \|\| e\.Unsettled/e.Unsettled/' $fleet TestRestartedEndpoint
 mutant cold-after-evacuation-ignored wharf/coordination/wharfdirectory/cold.go \
 	's/e\.Unsettled = .*/e.Unsettled = false/' $host TestZoneReturnsCold
 mutant cold-word-from-before wharf/coordination/wharfdirectory/cold.go \
--- a/wharf/state/wharffleet/cold.go
+++ b/wharf/state/wharffleet/cold.go
@@ -71,35 +71,35 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range ids {
-		if e := f.entries[id]; e != nil && e.doubtedAt.Before(writtenAfter) {
-			e.doubtedAt = time.Time{}
+		if e := f.entries[id]; e != nil && e.restartSuspectedAt.Before(writtenAfter) {
+			e.restartSuspectedAt = time.Time{}
 		}
 	}
 	f.noteColdness(time.Now())
 }
 
-// setDoubt makes an endpoint count as cold until a registration that is written later settles it.
-func (f *Fleet) setDoubt(e *entry, cause ColdCause, now time.Time) {
+// suspectRestart makes an endpoint count as cold until a registration that is written later settles it.
+func (f *Fleet) suspectRestart(e *entry, cause ColdCause, now time.Time) {
 	if current := f.entries[e.ID]; current != nil {
 		e = current // the endpoint may have registered again since the request was placed
 	}
-	e.doubtedAt, e.doubt = now, cause
+	e.restartSuspectedAt, e.restartCause = now, cause
 	f.noteColdnessOf(e, now)
 }
 
-// doubtAfter doubts an endpoint after an outcome that shows that it may have crashed.
-func (f *Fleet) doubtAfter(e *entry, outcome wharfoutcome.Outcome, now time.Time) {
+// suspectRestartAfter suspects a restart of an endpoint after an outcome that shows that it may have crashed.
+func (f *Fleet) suspectRestartAfter(e *entry, outcome wharfoutcome.Outcome, now time.Time) {
 	switch outcome {
 	case wharfoutcome.NotSent, wharfoutcome.WrongEndpoint:
-		f.setDoubt(e, ColdUnreachable, now)
+		f.suspectRestart(e, ColdUnreachable, now)
 	case wharfoutcome.ConnectionLost:
-		f.setDoubt(e, ColdBrokenOff, now)
+		f.suspectRestart(e, ColdBrokenOff, now)
 	}
 }
 
 // isCold reports whether an endpoint counts as cold. The caller holds the lock.
 func (f *Fleet) isCold(e *entry, now time.Time) bool {
-	return f.cold.limits[e.Service] > 0 && (!e.doubtedAt.IsZero() || e.Unsettled || now.Before(e.ColdUntil))
+	return f.cold.limits[e.Service] > 0 && (!e.restartSuspectedAt.IsZero() || e.Unsettled || now.Before(e.ColdUntil))
 }
 
 // coldRoom returns the number of requests that this host may send to a cold endpoint now.
@@ -164,8 +164,8 @@
 		Remaining: max(0, e.ColdUntil.Sub(now)), Limit: f.cold.limits[e.Service],
 	}
 	switch {
-	case !e.doubtedAt.IsZero():
-		change.Cause = e.doubt
+	case !e.restartSuspectedAt.IsZero():
+		change.Cause = e.restartCause
 	case e.Unsettled:
 		change.Cause = ColdEvacuated
 	}
--- a/wharf/state/wharffleet/cold_test.go
+++ b/wharf/state/wharffleet/cold_test.go
@@ -131,9 +131,9 @@
 	})
 }
 
-// TestDoubtedEndpointIsColdUntilALaterRegistration guards against full traffic to an endpoint that comes back from a
+// TestRestartedEndpointIsColdUntilALaterRegistration guards against full traffic to an endpoint that comes back from a
 // crash before its registration tells that it is cold.
-func TestDoubtedEndpointIsColdUntilALaterRegistration(t *testing.T) {
+func TestRestartedEndpointIsColdUntilALaterRegistration(t *testing.T) {
 	causes := map[string]func(f *Fleet, p *Placement){
 		"unreachable": func(_ *Fleet, p *Placement) { p.Fail(wharfoutcome.NotSent) },
 		"another":     func(_ *Fleet, p *Placement) { p.Fail(wharfoutcome.WrongEndpoint) },
--- a/wharf/state/wharffleet/endpoint.go
+++ b/wharf/state/wharffleet/endpoint.go
@@ -92,8 +92,8 @@
 	stalled            int       // requests of all hosts that are stalled here
 	probingSince       time.Time // when a request began to probe whether the endpoint works again; zero if none does
 	backoff            time.Duration
-	doubtedAt          time.Time // when something showed that it may have become cold; zero if nothing did since its registration
-	doubt              ColdCause // what that was
+	restartSuspectedAt time.Time // when something showed that it may have become cold; zero if nothing did since its registration
+	restartCause       ColdCause // what that was
 	notedCold          bool      // reported as cold
 }
 
--- a/wharf/state/wharffleet/fleet.go
+++ b/wharf/state/wharffleet/fleet.go
@@ -118,7 +118,7 @@
 		if known == nil || known.Address != e.Address || !known.Born.Equal(e.Born) {
 			added := f.newEntry(e)
 			if known != nil {
-				added.doubtedAt, added.doubt, added.notedCold = known.doubtedAt, known.doubt, known.notedCold
+				added.restartSuspectedAt, added.restartCause, added.notedCold = known.restartSuspectedAt, known.restartCause, known.notedCold
 			}
 			known = added
 		}
--- a/wharf/state/wharffleet/health.go
+++ b/wharf/state/wharffleet/health.go
@@ -63,7 +63,7 @@
 		e.addSharedFaults(1, now)
 	}
 	e.unreachable = e.unreachable || outcome == wharfoutcome.NotSent
-	p.fleet.doubtAfter(e, outcome, now)
+	p.fleet.suspectRestartAfter(e, outcome, now)
 	down := outcome == wharfoutcome.NotSent || outcome == wharfoutcome.WrongEndpoint
 	if !down && e.localFaults < faultsToEject && e.sharedFaults < sharedFaultsToEject {
 		return 0
@@ -114,7 +114,7 @@
 			e.probingSince = time.Time{}
 			if e.sharedFaults >= sharedFaultsToEject && !e.ejectedUntil.After(now) {
 				ejections = append(ejections, e.ejectForPeers(now))
-				f.setDoubt(e, ColdBrokenOff, now)
+				f.suspectRestart(e, ColdBrokenOff, now)
 			}
 		}
 	}
