--- a/wharf/coordination/wharflimiter/large_test.go
+++ b/wharf/coordination/wharflimiter/large_test.go
@@ -43,7 +43,7 @@
 func (f *fleet) admitAt(
 	ctx context.Context, from int, to wharfgossip.AllocatorHost, a Admission,
 ) (Decision, error) {
-	f.calls++
+	f.calls.Add(1)
 	if from == f.unanswered {
 		if !f.suspended(from) {
 			time.Sleep(pullTimeout)
@@ -124,7 +124,7 @@
 					f.assertWithinLimit(t)
 					total := f.rejected + len(f.admitted)
 					t.Logf("%d of %d rejected, one bucket for all would reject %d; %.2f calls for each request",
-						f.rejected, total, f.exactlyRejected, float64(f.calls)/float64(total))
+						f.rejected, total, f.exactlyRejected, float64(f.calls.Load())/float64(total))
 					assert.Assert(t, f.rejected <= f.exactlyRejected+total/50, "%d of %d requests within the rate were rejected",
 						f.rejected, total)
 				})
--- a/wharf/coordination/wharflimiter/limiter_test.go
+++ b/wharf/coordination/wharflimiter/limiter_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,7 @@
 	zones      int
 	admittedBy []int // by host, as last reported
 	reportedAt []time.Time
-	calls      int // between hosts
+	calls      atomic.Int64 // between hosts
 	// unanswered is the host whose calls to the allocators of its zone are not answered, or -1.
 	unanswered     int
 	suspendedUntil time.Time // until when that host does not call them
@@ -59,7 +60,8 @@
 		f.startHost(i, true)
 	}
 	f.generateLoad(0.001, 5*time.Second) // fill the buckets before any traffic
-	f.admitted, f.rejected, f.calls, f.exactlyRejected = nil, 0, 0, 0
+	f.admitted, f.rejected, f.exactlyRejected = nil, 0, 0
+	f.calls.Store(0)
 	f.exact = wharfshare.New(burst, time.Now())
 	f.exact.Resize(rate, burst, time.Now())
 	return f
@@ -71,7 +73,7 @@
 		Fresh: fresh,
 		Peers: func() []wharfgossip.Peer { return f.peers(i) },
 		Pull: func(_ context.Context, peer wharfgossip.Peer, organisation string, wanted float64) (float64, error) {
-			f.calls++
+			f.calls.Add(1)
 			j := int(peer.Incarnation)
 			if f.down[j] || f.partition[i] != f.partition[j] {
 				time.Sleep(pullTimeout)
