--- a/wharf/coordination/wharflimiter/model_test.go
+++ b/wharf/coordination/wharflimiter/model_test.go
@@ -118,8 +118,12 @@
 	return m
 }
 
+// demandFades is the time after the last request in which a limiter's expected demand falls below a token.
+const demandFades = 3 * time.Second
+
 // close ends all that runs.
 func (m *model) close() {
+	time.Sleep(demandFades) // limiters that are stopped under demand would ask each other for tokens for ever
 	m.cancel()
 	time.Sleep(time.Second) // calls that limiters make for nobody any more
 	m.work.Wait()
