--- a/wagtailwharf/root/root.go
+++ b/wagtailwharf/root/root.go
@@ -8,6 +8,7 @@
 
 	wharfchat "wagtailwharf.example/wagtailwharf/chat"
 	wharfapply "wagtailwharf.example/wagtailwharf/config/apply"
+	wharfcheck "wagtailwharf.example/wagtailwharf/config/check"
 	wharfdiff "wagtailwharf.example/wagtailwharf/config/diff"
 	wharfexport "wagtailwharf.example/wagtailwharf/config/export"
 	wharfhistory "wagtailwharf.example/wagtailwharf/config/history"
@@ -54,8 +55,8 @@
 		Flags:          wharffactory.Flags(),
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			commandGroup("config", "manage the configuration bundle", wharfvalidate.New(f), wharfdiff.New(f),
-				wharfsign.New(f), wharfapply.New(f), wharfstatus.New(f), wharfhistory.New(f),
+			commandGroup("config", "manage the configuration bundle", wharfvalidate.New(f), wharfcheck.New(f),
+				wharfdiff.New(f), wharfsign.New(f), wharfapply.New(f), wharfstatus.New(f), wharfhistory.New(f),
 				wharfexport.New(f), wharfimport.New(f)),
 			commandGroup("signer", "manage the signers of configurations", wharfsigner.New(f)),
 			commandGroup("org", "inspect organisations", wharforgs.New(f)),
--- a/wagtailwharf/root/root_test.go
+++ b/wagtailwharf/root/root_test.go
@@ -132,6 +132,12 @@
 		{"config validate DIR/bundle.toml", wharfexit.OK, "is valid: 1 organisations"},
 		{"config validate DIR/missing.toml", wharfexit.Usage, "give the TOML file"},
 		{"config validate", wharfexit.Usage, "no bundle file given"},
+		{"config check DIR/bundle.toml", wharfexit.OK, "organisation \"tema\": has no key"},
+		{"config check DIR/bundle.toml --strict --json", wharfexit.Failure, `"reason": "has no key"`},
+		{"--operators x config check DIR/bundle.toml --format json", wharfexit.Usage, "error: configuration"},
+		{"config check DIR/missing.toml", wharfexit.Usage, "holds a configuration"},
+		{"config check", wharfexit.Usage, "no configuration file given"},
+		{"config check DIR/bundle.toml --format xml", wharfexit.Usage, "--format toml"},
 		{"config diff DIR/bundle.toml", wharfexit.OK, ""},
 		{"config status", wharfexit.OK, "entry-2\t0"},
 		{"--json config status", wharfexit.OK, `"entry-1": 7`},
@@ -217,6 +223,16 @@
 	}
 }
 
+// TestCheckAsksForVersionInForce guards against a check that compares only if a file is given.
+func TestCheckAsksForVersionInForce(t *testing.T) {
+	f := newFixture(t, newFakeHost(t))
+	changed := strings.Replace(bundleText, "burst = 20.0", "burst = 30.0", 1)
+	assert.NilError(t, os.WriteFile(f.path("changed.toml"), []byte(changed), 0o600))
+	assert.NilError(t, f.run("--operators", "x", "config", "check", "DIR/changed.toml"))
+	assert.Assert(t, strings.Contains(f.out.String(), "burst 30, was 20"), f.out.String())
+	assert.Equal(t, f.errOut.String(), "")
+}
+
 func TestTableHasHeaderOnTerminal(t *testing.T) {
 	f := newFixture(t, fakeHost{"GET /v1/config/status": `{"entry-1":7}`})
 	f.streams.Terminal = true
--- a/wagtailwharf/wharfbundle/bundle.go
+++ b/wagtailwharf/wharfbundle/bundle.go
@@ -75,6 +75,20 @@
 	return []byte(strings.Join(lines, "\n")), nil
 }
 
+// Lines returns the numbers of the lines, from 1, at which the [[header]] tables whose field equals value begin.
+func Lines(text []byte, header, field, value string) []int {
+	lines := strings.Split(string(text), "\n")
+	var numbers []int
+	for offset := 0; ; {
+		start, end := findTable(lines[offset:], header, field, value)
+		if start < 0 {
+			return numbers
+		}
+		numbers = append(numbers, offset+start+1)
+		offset += end
+	}
+}
+
 // findTable returns the half-open range of lines, from its header to the next header, of the first [[header]] table
 // whose field equals value, or -1, -1.
 func findTable(lines []string, header, field, value string) (start, end int) {
--- a/wagtailwharf/wharfbundle/bundle_test.go
+++ b/wagtailwharf/wharfbundle/bundle_test.go
@@ -57,3 +57,12 @@
 	_, err = RemoveTable([]byte(text), "key", "id", "x")
 	assert.Assert(t, errors.Is(err, ErrTableNotFound))
 }
+
+// TestLines guards against lines of tables of another kind with the same name.
+func TestLines(t *testing.T) {
+	doubled := []byte(text + text)
+	assert.DeepEqual(t, Lines([]byte(text), "service", "name", "b"), []int{8})
+	assert.DeepEqual(t, Lines(doubled, "key", "id", "k"), []int{11, 23})
+	assert.DeepEqual(t, Lines(doubled, "service.route", "path", "/x"), []int{5, 17})
+	assert.Equal(t, len(Lines(doubled, "key", "name", "b")), 0)
+}
