--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -17,9 +17,10 @@
 
 // cases are the scripts by name. They return what was broken, "" if nothing was.
 var cases = map[string]func(d *deployment, trouble bool) (broken string, err error){
-	"removed-route": removedRoute,
-	"failing-item":  failingItem,
-	"silent-store":  silentStore,
+	"removed-route":   removedRoute,
+	"failing-item":    failingItem,
+	"restored-tenant": restoredTenant,
+	"silent-store":    silentStore,
 }
 
 func main() {
