--- a/review/tools-2/deployment.go
+++ b/review/tools-2/deployment.go
@@ -113,7 +113,9 @@
 
 // addDaemon starts a daemon with the command of the deploy file and settings as deploy/settings.toml renders them.
 func (d *deployment) addDaemon(name, zone string, memoryMB int) (*daemon, error) {
-	ip := netip.MustParseAddr("127.0.0.1")
+	// An address of this run: connections from 127.0.0.1 can't take a port that a daemon is about to listen on.
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16), byte(pid >> 8), byte(1 + pid%250)})
 	link, err := newLink(d.ctx, ip, d.address)
 	if err != nil {
 		return nil, err
@@ -198,8 +200,8 @@
 // route returns a route of the configuration.
 func route(name, prefix, kind string, extra map[string]any) map[string]any {
 	r := map[string]any{
-		"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 5000, "target_latency_ms": 300,
-		"gap_aim_ms": 250, "priority": 0, "service": service, "max_attempts": 2, "public": false,
+		"name": name, "host": host, wire("prefix"): prefix, "kind": kind, "timeout_ms": 5000, wire("latency-objective"): 300,
+		wire("gap-objective"): 250, "priority": 0, "service": service, wire("attempts"): 2, "public": false,
 	}
 	for field, value := range extra {
 		r[field] = value
@@ -209,8 +211,8 @@
 
 func batchRoute(name, prefix string) map[string]any {
 	return route(name, prefix, "batch", map[string]any{
-		"timeout_ms": 15000, "target_latency_ms": 500, "completion_target_ms": 18000, "max_wait_s": 30, "cap": 1200000,
-		"max_attempts": 3, "priority": 2,
+		"timeout_ms": 15000, wire("latency-objective"): 500, wire("completion-objective"): 18000, wire("longest-wait"): 30, "cap": 1200000,
+		wire("attempts"): 3, "priority": 2,
 	})
 }
 
@@ -231,7 +233,7 @@
 }
 
 func oneTenant() []map[string]any {
-	return []map[string]any{{"name": tenant, "api_keys": []string{key}, "rate_per_s": 10000, "burst": 10000}}
+	return []map[string]any{{"name": tenant, wire("keys"): []string{key}, wire("rate"): 10000, "burst": 10000}}
 }
 
 // worker starts a worker that writes its entry every heartbeat until stop is called.
@@ -255,7 +257,7 @@
 	for sequence := 2; ctx.Err() == nil; sequence++ {
 		_ = d.store.PutRow("servers", w.ID, map[string]any{
 			"service": w.Service, "address": w.Address, "zone": w.Zone, "version": w.Version, "slots": w.Slots, "state": "ready",
-			"cold_remaining_ms": 0, "sequence": sequence, "born": born,
+			wire("cold-time"): 0, "sequence": sequence, "born": born,
 		})
 		select {
 		case <-ctx.Done():
--- a/review/tools-2/failing_item.go
+++ b/review/tools-2/failing_item.go
@@ -31,10 +31,10 @@
 }
 
 func (w *failingWorker) ServeHTTP(rw http.ResponseWriter, r *http.Request, d *deployment) {
-	id := r.Header.Get("Attempt-Id")
-	rw.Header().Set("Attempt-Id", id)
-	rw.Header().Set("Instance-Id", w.id)
-	if r.Header.Get("Expect-Instance") != w.id {
+	id := r.Header.Get(wire("attempt-id"))
+	rw.Header().Set(wire("attempt-id"), id)
+	rw.Header().Set(wire("worker-id"), w.id)
+	if r.Header.Get(wire("expected-worker")) != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -72,7 +72,7 @@
 func failingItem(d *deployment, trouble bool) (string, error) {
 	online := route("online", "/online/", "streaming", map[string]any{"resumable": true})
 	batch := batchRoute("batch", "/batch/")
-	batch["max_wait_s"] = 110
+	batch[wire("longest-wait")] = 110
 	if err := d.configure(1, []map[string]any{online, batch}, oneTenant()); err != nil {
 		return "", err
 	}
@@ -112,7 +112,7 @@
 		late, from, answers := w.lateAt, w.lateFrom, w.answers
 		w.mu.Unlock()
 		if !late.IsZero() {
-			return fmt.Sprintf("BUDGET: after %d answers of 500, three times max_attempts, the item reached a worker again %.1f s after its batch job, from %s, which was in touch",
+			return fmt.Sprintf("BUDGET: after %d answers of 500, three times the allowed attempts, the item reached a worker again %.1f s after its batch job, from %s, which was in touch",
 				3*maxAttempts, late.Sub(start).Seconds(), from), nil
 		}
 		if count(d, d.caller(), "job-1") > 0 {
--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -17,6 +17,8 @@
 
 // cases are the scripts by name. They return what was broken, "" if nothing was.
 var cases = map[string]func(d *deployment, trouble bool) (broken string, err error){
+	"full-store":      fullStore,
+	"large-results":   largeResults,
 	"removed-route":   removedRoute,
 	"failing-item":    failingItem,
 	"restored-tenant": restoredTenant,
--- a/review/tools-2/removed_route.go
+++ b/review/tools-2/removed_route.go
@@ -100,7 +100,7 @@
 				dead++
 			}
 		}
-		d.record.add("read of %s at %s: status %d, %d items, %d completed, %d dead_letter", id, n.name, r.Status, page.Total, completed, dead)
+		d.record.add("read of %s at %s: status %d, %d items, %d completed, %d given up", id, n.name, r.Status, page.Total, completed, dead)
 		most = max(most, completed+dead)
 	}
 	return most
--- a/review/tools-2/restored_tenant.go
+++ b/review/tools-2/restored_tenant.go
@@ -21,8 +21,8 @@
 	routes := []map[string]any{
 		route("online", "/online/", "streaming", map[string]any{"resumable": true}), batchRoute("batch", "/batch/"),
 	}
-	limited := map[string]any{"name": tenant, "api_keys": []string{key}, "rate_per_s": quotaRate, "burst": quotaBurst}
-	other := map[string]any{"name": "tenant-b", "api_keys": []string{"key-b"}, "rate_per_s": quotaRate, "burst": quotaBurst}
+	limited := map[string]any{"name": tenant, wire("keys"): []string{key}, wire("rate"): quotaRate, "burst": quotaBurst}
+	other := map[string]any{"name": "tenant-b", wire("keys"): []string{"key-b"}, wire("rate"): quotaRate, "burst": quotaBurst}
 	both := []map[string]any{limited, other}
 	if err := d.configure(1, routes, both); err != nil {
 		return "", err
--- a/review/tools-2/writer.go
+++ b/review/tools-2/writer.go
@@ -24,17 +24,19 @@
 		return netip.AddrPort{}, err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPost && r.URL.Path == "/rows-tx" {
+		if r.Method == http.MethodPost && r.URL.Path == wire("transaction-path") {
 			body, _ := io.ReadAll(r.Body)
 			r.Body = io.NopCloser(bytes.NewReader(body))
-			var call struct {
-				Conditions []json.RawMessage `json:"expected_revision"`
-			}
-			if json.Unmarshal(body, &call) == nil && len(call.Conditions) > 0 {
+			var call map[string]json.RawMessage
+			var conditions []json.RawMessage
+			status := &statusWriter{ResponseWriter: rw, status: http.StatusOK}
+			d.store.ServeHTTP(status, r)
+			if json.Unmarshal(body, &call) == nil && json.Unmarshal(call[wire("conditions")], &conditions) == nil && len(conditions) > 0 && status.status == http.StatusOK {
 				w.mu.Lock()
 				w.last = name
 				w.mu.Unlock()
 			}
+			return
 		}
 		d.store.ServeHTTP(rw, r)
 	})}
@@ -58,3 +60,15 @@
 	}
 	return name, 0
 }
+
+// statusWriter notes the status of a response. A write whose condition does not hold is none.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
