--- a/wharf/coordination/wharfjobrunner/regions.go
+++ b/wharf/coordination/wharfjobrunner/regions.go
@@ -14,7 +14,7 @@
 	if table == nil {
 		return nil
 	}
-	route := table.RouteByName(job.Route)
+	route := routeOf(table, job)
 	if route == nil {
 		route = &wharfroute.Route{}
 	}
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -260,7 +260,7 @@
 	var victim *item
 	var lowest wharfschedule.Candidate
 	for _, aj := range r.jobs {
-		route := table.RouteByName(aj.job.Route)
+		route := routeOf(table, &aj.job)
 		if route == nil {
 			continue
 		}
--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -121,8 +121,12 @@
 	storeNow := r.options.Jobs.Now()
 	var list []startable
 	for _, aj := range r.jobs {
-		route := table.RouteByName(aj.job.Route)
-		if route == nil || aj.loading {
+		if aj.loading {
+			continue
+		}
+		route := routeOf(table, &aj.job)
+		if route == nil {
+			r.giveUpWithoutRoute(table, aj, storeNow)
 			continue
 		}
 		for _, i := range aj.items {
--- a/wharf/coordination/wharfjobstore/store.go
+++ b/wharf/coordination/wharfjobstore/store.go
@@ -150,9 +150,12 @@
 	ID               string
 	Organisation     string
 	Route            string
+	PathPrefix       string // of the route
 	Host             string
 	Items            []wharfcall.Item
 	MaxWaitingTokens int64 // of the organisation on the route; 0 means no limit
+	// ConfigurationVersion is a version that has the route.
+	ConfigurationVersion uint64
 }
 
 // Submit accepts a job idempotently: submitting a job that exists already has no effect. ErrWaitingLimit and
@@ -241,16 +244,18 @@
 
 func (s *Store) newRecord(sub Submission, object string, now time.Duration) wharftask.Record {
 	record := wharftask.Record{
-		ID:            sub.ID,
-		Organisation:  sub.Organisation,
-		Route:         sub.Route,
-		Host:          sub.Host,
-		Object:        object,
-		AcceptedAt:    now,
-		Owner:         s.options.Host,
-		Incarnation:   s.options.Incarnation,
-		TransactionID: uuid.NewString(),
-		Region:        s.options.Region,
+		ID:                   sub.ID,
+		Organisation:         sub.Organisation,
+		Route:                sub.Route,
+		Host:                 sub.Host,
+		Object:               object,
+		AcceptedAt:           now,
+		Owner:                s.options.Host,
+		Incarnation:          s.options.Incarnation,
+		TransactionID:        uuid.NewString(),
+		Region:               s.options.Region,
+		PathPrefix:           sub.PathPrefix,
+		ConfigurationVersion: sub.ConfigurationVersion,
 	}
 	for _, item := range sub.Items {
 		record.ItemTokens = append(record.ItemTokens, item.Tokens)
--- a/wharf/state/wharfroute/table.go
+++ b/wharf/state/wharfroute/table.go
@@ -188,6 +188,19 @@
 	return t.names[name]
 }
 
+// BatchRoute returns the route of a batch job that was accepted on the route with a name, under a host name and path prefix: the
+// route of that name or, if it no longer takes batch jobs, the one that takes those of the same host name and path prefix. It
+// returns nil if there is none.
+func (t *Table) BatchRoute(name, host, prefix string) *Route {
+	if r := t.names[name]; r != nil && r.Kind == Batch {
+		return r
+	}
+	if r := t.Find(host, prefix); r != nil && r.Kind == Batch {
+		return r
+	}
+	return nil
+}
+
 // Service returns the service with a name, or nil.
 func (t *Table) Service(name string) *Service {
 	return t.services[name]
--- a/wharf/state/wharfroute/table_test.go
+++ b/wharf/state/wharfroute/table_test.go
@@ -42,6 +42,32 @@
 	assert.Assert(t, table.RouteByName("none") == nil)
 }
 
+func TestBatchRouteOfReplacedRoute(t *testing.T) {
+	table := New(Configuration{Routes: []Route{
+		{Name: "kept", Host: "a", PathPrefix: "/kept/", Kind: Batch},
+		{Name: "successor", Host: "a", PathPrefix: "/jobs/", Kind: Batch},
+		{Name: "now-online", Host: "a", PathPrefix: "/online/", Kind: Streaming},
+	}})
+	for _, c := range []struct{ name, host, prefix, route string }{
+		{"kept", "a", "/kept/", "kept"},
+		{"kept", "a", "/moved/", "kept"},
+		{"gone", "a", "/jobs/", "successor"},
+		{"gone", "a", "/jobs/split/", "successor"},
+		{"gone", "b", "/jobs/", ""},
+		{"gone", "a", "/other/", ""},
+		{"gone", "a", "/online/", ""},
+		{"gone", "a", "", ""},
+		{"now-online", "a", "/online/", ""},
+		{"now-online", "a", "/jobs/", "successor"},
+	} {
+		name := ""
+		if r := table.BatchRoute(c.name, c.host, c.prefix); r != nil {
+			name = r.Name
+		}
+		assert.Equal(t, name, c.route, "%s of %s%s", c.name, c.host, c.prefix)
+	}
+}
+
 func TestKeyOwner(t *testing.T) {
 	table := New(Configuration{Organisations: []Organisation{{Name: "o"}}, Keys: map[string]string{"k": "o", "orphan": "gone"}})
 	assert.Equal(t, table.KeyOwner("k").Name, "o")
--- a/wharf/state/wharftask/task.go
+++ b/wharf/state/wharftask/task.go
@@ -38,6 +38,10 @@
 	HandedOver    bool          `cbor:"13,keyasint"` // a previous owner stored its items' progress when it stopped
 	// Region is that of the host that accepted the job, "" if it is not known or the row was written by an older build.
 	Region string `cbor:"14,keyasint,omitempty"`
+	// PathPrefix is that of the route on which the job was accepted, and ConfigurationVersion the version that had the route.
+	// Rows of older builds have neither.
+	PathPrefix           string `cbor:"15,keyasint,omitempty"`
+	ConfigurationVersion uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 // Progress is the stored progress of an unfinished item whose owner stops.
--- a/wharf/transport/wharffrontend/jobs.go
+++ b/wharf/transport/wharffrontend/jobs.go
@@ -73,12 +73,14 @@
 	defer cancel()
 	ctx = wharfregion.WithLimit(ctx, wharfroute.Regions(q.route, q.organisation))
 	err = q.server.options.Jobs.Submit(ctx, wharfjobstore.Submission{
-		ID:               q.call.ID,
-		Organisation:     q.organisationName(),
-		Route:            q.route.Name,
-		Host:             q.call.Host,
-		Items:            items,
-		MaxWaitingTokens: q.route.MaxWaitingTokens,
+		ID:                   q.call.ID,
+		Organisation:         q.organisationName(),
+		Route:                q.route.Name,
+		PathPrefix:           q.route.PathPrefix,
+		Host:                 q.call.Host,
+		Items:                items,
+		MaxWaitingTokens:     q.route.MaxWaitingTokens,
+		ConfigurationVersion: q.table.Version,
 	})
 	if err != nil {
 		return q.jobRefusal(err)
@@ -199,7 +201,7 @@
 	if err := q.reserve(ctx, itemsReserve); err != nil {
 		return err
 	}
-	if route := q.table.RouteByName(job.Route); route != nil {
+	if route := q.table.BatchRoute(job.Route, job.Host, job.PathPrefix); route != nil {
 		ctx = wharfregion.WithLimit(ctx, wharfroute.Regions(route, q.organisation))
 	}
 	items, err := jobs.Items(ctx, &job)
--- a/wharf/transport/wharffrontend/server.go
+++ b/wharf/transport/wharffrontend/server.go
@@ -251,7 +251,7 @@
 		return errHeaderTooLarge
 	}
 	job, isJob, err := s.options.Dialect.DecodeJobCall(r)
-	if isJob && q.acceptsJobs() {
+	if isJob && (q.acceptsJobs() || q.ownsJob(job.JobID)) {
 		q.discardBody(r)
 		if err != nil {
 			return errMalformed
@@ -305,6 +305,24 @@
 	return false
 }
 
+// ownsJob reports whether the request's key belongs to the organisation of a job that this host knows, or may belong to that of
+// a job because the request matches no route. Jobs are read after their host name has lost its routes.
+func (q *request) ownsJob(id string) bool {
+	organisation := ""
+	if q.table.RequiresKey() {
+		owner := q.table.KeyOwner(q.call.Key)
+		if owner == nil {
+			return false
+		}
+		organisation = owner.Name
+	}
+	if q.table.Find(q.call.Host, q.call.Path) == nil {
+		return true
+	}
+	_, known := q.server.options.Jobs.Cached(organisation, id)
+	return known
+}
+
 // authenticate finds the organisation that holds the request's key, unless the route is open or no keys are configured.
 func (q *request) authenticate() error {
 	if (q.route != nil && q.route.Open) || !q.table.RequiresKey() {
