--- a/wharf/coordination/wharfjobrunner/close.go
+++ b/wharf/coordination/wharfjobrunner/close.go
@@ -72,18 +72,21 @@
 	return progress
 }
 
-// writeRemaining writes the pending results before the job is released.
+// writeRemaining writes the pending results and failures before the job is released.
 func (r *Runner) writeRemaining(ctx context.Context, aj *activeJob) wharfjobstore.Job {
 	r.mu.Lock()
 	job := aj.job
-	results := resultsOf(aj.pendingResults)
+	results, failures := resultsOf(aj.pendingResults), aj.unrecordedFailures()
 	r.mu.Unlock()
-	if len(results) == 0 {
-		return job
+	var err error
+	if len(results) > 0 {
+		job, err = r.options.Jobs.AppendResults(ctx, job, results)
+	}
+	if len(failures) > 0 && err == nil {
+		job, err = r.options.Jobs.RecordFailures(ctx, job, failures)
 	}
-	updated, err := r.options.Jobs.AppendResults(ctx, job, results)
 	if err != nil && !errors.Is(err, wharfrecords.ErrUnavailable) {
 		klog.InfoS("failed to write results before leaving", "request-id", job.ID, "error", err.Error())
 	}
-	return updated
+	return job
 }
--- a/wharf/coordination/wharfjobrunner/finish.go
+++ b/wharf/coordination/wharfjobrunner/finish.go
@@ -169,8 +169,7 @@
 		aj.job = updated
 	}
 	if err != nil {
-		aj.writeBackoff = min(max(minWriteBackoff, 2*aj.writeBackoff), maxWriteBackoff)
-		aj.writeAfter = time.Now().Add(aj.writeBackoff)
+		aj.backOff()
 		klog.InfoS("failed to write results; retrying", "request-id", job.ID, "results", len(pending),
 			"error", err.Error())
 		return
--- a/wharf/coordination/wharfjobrunner/runner.go
+++ b/wharf/coordination/wharfjobrunner/runner.go
@@ -124,6 +124,7 @@
 		}
 		r.syncJobs(ctx)
 		r.startItems(ctx)
+		r.flushFailures(ctx)
 		r.flushResults(ctx)
 	}
 	r.goroutines.Wait()
@@ -199,7 +200,8 @@
 	}
 	for index := range items {
 		if !aj.job.HasResult(index) {
-			aj.items = append(aj.items, &item{Item: items[index], index: index, job: aj})
+			failures := job.FailuresOf(index)
+			aj.items = append(aj.items, &item{Item: items[index], index: index, job: aj, failures: failures, recorded: failures})
 		}
 	}
 	resumed := aj.restoreProgress(progress)
@@ -222,7 +224,7 @@
 		for _, i := range aj.items {
 			if i.index == p.Item {
 				i.text, i.lastEvent, i.events = []byte(p.Text), p.LastEvent, p.Events
-				i.failures, i.disconnects = p.Failures, p.Disconnects
+				i.failures, i.disconnects = max(i.failures, p.Failures), p.Disconnects
 				i.origin, i.stopped = p.Origin, time.Now()
 				resumed++
 			}
--- a/wharf/coordination/wharfjobrunner/start.go
+++ b/wharf/coordination/wharfjobrunner/start.go
@@ -133,6 +133,9 @@
 			if r.expireItem(route, i) || r.rejectItem(i) || i.cancel != nil || i.finished || now.Before(i.notBefore) {
 				continue
 			}
+			if i.hasUnrecordedFailures() {
+				continue
+			}
 			list = append(list, startable{item: i, route: route, candidate: r.candidate(route, i, storeNow)})
 		}
 	}
--- a/wharf/coordination/wharfjobrunner/task.go
+++ b/wharf/coordination/wharfjobrunner/task.go
@@ -60,6 +60,7 @@
 	events      int
 	origin      wharfcall.Origin // of the text so far, if there are events
 	failures    int              // attempts whose answer says that the endpoint failed
+	recorded    int              // of the failures, those in the job's row
 	disconnects int              // attempts during which the connection was lost
 	notBefore   time.Time
 	cancel      context.CancelFunc // nil unless the item is running
--- a/wharf/coordination/wharfjobstore/change.go
+++ b/wharf/coordination/wharfjobstore/change.go
@@ -122,6 +122,20 @@
 	return job, nil
 }
 
+// RecordFailures stores how many attempts at items have failed, by item, so that the next owner goes on from there. It returns the
+// job after the transaction, and ErrOwnershipLost if this host no longer owns the job.
+func (s *Store) RecordFailures(ctx context.Context, job Job, failures map[int]int) (Job, error) {
+	return s.update(ctx, job, func(next *Job) ([]wharfrecords.Row, error) {
+		if next.Cancelled || next.Owner != s.options.Host || next.Incarnation != s.options.Incarnation {
+			return nil, ErrOwnershipLost
+		}
+		for item, count := range failures {
+			next.RecordFailures(item, count)
+		}
+		return nil, nil
+	})
+}
+
 // resultRows returns the rows of results that the job does not list yet, as many as one transaction may have, and appends
 // their items to the job's list. It also returns how many results these rows and those that are listed already make up.
 func (s *Store) resultRows(
--- a/wharf/state/wharftask/task.go
+++ b/wharf/state/wharftask/task.go
@@ -1,6 +1,7 @@
 package wharftask
 
 import (
+	"math"
 	"time"
 
 	"wagtailwharf.example/wharf/state/wharfcall"
@@ -42,6 +43,8 @@
 	// Rows of older builds have neither.
 	PathPrefix           string `cbor:"15,keyasint,omitempty"`
 	ConfigurationVersion uint64 `cbor:"16,keyasint,omitempty"`
+	// Failures is the number of failed attempts at each item, empty as long as none has failed.
+	Failures []uint8 `cbor:"17,keyasint,omitempty"`
 }
 
 // Progress is the stored progress of an unfinished item whose owner stops.
@@ -76,6 +79,25 @@
 	return total
 }
 
+// FailuresOf returns the number of failed attempts at an item.
+func (r *Record) FailuresOf(item int) int {
+	if item >= len(r.Failures) {
+		return 0
+	}
+	return int(r.Failures[item])
+}
+
+// RecordFailures raises the number of failed attempts at an item. It leaves the slice of other copies of the record as it is.
+func (r *Record) RecordFailures(item, failures int) {
+	if failures <= r.FailuresOf(item) {
+		return
+	}
+	counts := make([]uint8, len(r.ItemTokens))
+	copy(counts, r.Failures)
+	counts[item] = uint8(min(failures, math.MaxUint8))
+	r.Failures = counts
+}
+
 // HasResult reports whether an item has a result.
 func (r *Record) HasResult(item int) bool {
 	for _, listed := range r.ResultOrder {
