--- a/wharf/transport/wharfendpointclient/client.go
+++ b/wharf/transport/wharfendpointclient/client.go
@@ -9,10 +9,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -102,11 +100,8 @@
 // header names another request, and ErrEncoded if the body is encoded.
 func (c *Client) Send(ctx context.Context, request Request) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var gotConn atomic.Bool
-	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
-	})
-	httpRequest, err := newHTTPRequest(tracedCtx, request)
+	progress := newProgress()
+	httpRequest, err := newHTTPRequest(progress.trace(ctx), request)
 	if err != nil {
 		cancel(nil)
 		return nil, trace.Wrap(err)
@@ -115,7 +110,7 @@
 	response, err := c.transport(request).RoundTrip(httpRequest)
 	if err != nil {
 		inactivity.stop()
-		err = classify(ctx, err, gotConn.Load())
+		err = classify(ctx, err, progress.connected())
 		cancel(nil)
 		c.dropIdleAfterTimeout(request, err)
 		return nil, trace.Wrap(err)
@@ -129,7 +124,11 @@
 		idleTimeout: request.IdleTimeout,
 	}
 	body.onError = func(err error) { c.dropIdleAfterTimeout(request, err) }
-	if err := errors.Join(checkRequestID(response, request.RequestID), checkEncoding(response)); err != nil {
+	if !endIsMarked(response) {
+		body.progress = progress
+	}
+	err = errors.Join(checkRequestID(response, request.RequestID), checkEncoding(response))
+	if err != nil {
 		_ = body.Close()
 		return nil, trace.Wrap(err)
 	}
@@ -158,6 +157,11 @@
 	return httpRequest, nil
 }
 
+// endIsMarked reports whether something else than the end of the connection says where a response's body ends.
+func endIsMarked(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // checkRequestID rejects a response that names another request. A response that names none must be checked by its body.
 func checkRequestID(response *http.Response, requestID string) error {
 	responseID := response.Header.Get(wharfapi.RequestIDHeader)
@@ -235,12 +239,19 @@
 	inactivity  *inactivityTimer
 	idleTimeout time.Duration
 	onError     func(error)
+	progress    *progress // of the request, if the body ends with the connection; nil otherwise
 }
 
-// Read reads from the body, and maps an error before its end to one of this package's errors.
+// Read reads from the body, and maps an error before its end to one of this package's errors. The end of the connection is the
+// body's only if the request was written: a reset that the write reports looks like an ordinary end to the reader.
 func (b *responseBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	b.inactivity.restart(b.idleTimeout)
+	if errors.Is(err, io.EOF) && b.progress != nil {
+		if failure := b.progress.written(b.ctx); failure != nil {
+			err = failure
+		}
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = classify(b.ctx, err, true)
 		b.onError(err)
--- a/wharf/transport/wharfendpointclient/client_test.go
+++ b/wharf/transport/wharfendpointclient/client_test.go
@@ -84,3 +84,41 @@
 		assert.Equal(t, errors.Is(err, ErrEncoded), rejected, "%s: %v", encoding, err)
 	}
 }
+
+// TestResetDuringUploadIsNoEnd guards against a part of a response that is taken for whole: an endpoint responds to a long upload at
+// once, without a length, and resets the connection.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part of")
+				}
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	endpoint := wharfconfig.Endpoint{Name: "e", URL: "http://" + listener.Addr().String()}
+	for range 100 {
+		response, err := New().Send(context.Background(), Request{
+			Endpoint: endpoint, Method: http.MethodPost, Path: "/", RequestID: "x", NewConnection: true, Body: make([]byte, 8<<20),
+			FirstByteTimeout: 4 * time.Second, IdleTimeout: 4 * time.Second,
+		})
+		if err != nil {
+			assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%v", err)
+			continue
+		}
+		data, err := io.ReadAll(response.Body)
+		assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%v after %q", err, data)
+		assert.NilError(t, response.Body.Close())
+	}
+}
--- a/wharf/transport/wharfforwarder/forwarder.go
+++ b/wharf/transport/wharfforwarder/forwarder.go
@@ -316,7 +316,7 @@
 		a.conn.SetReadTimeout(a.IdleTimeout)
 		n, err := response.Body.Read(buffer)
 		received += n
-		if errors.Is(err, io.EOF) && received == 0 && !endIsMarked(response) {
+		if errors.Is(err, io.EOF) && received == 0 && !wharfhttpconn.EndIsMarked(response) {
 			return wharfhttpconn.ErrConnectionBroken
 		}
 		if n > 0 || errors.Is(err, io.EOF) {
@@ -344,11 +344,6 @@
 	return nil
 }
 
-// endIsMarked reports whether something else than the end of the connection says where a response's body ends.
-func endIsMarked(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
-}
-
 // writeHeader forwards the status and header, unless this or an earlier attempt has done so.
 func (a *attempt) writeHeader(response *http.Response) error {
 	if a.result.TimeToFirstEvent == 0 {
@@ -444,7 +439,7 @@
 // marked: the end of the connection may have come before the first event.
 func (a *attempt) endStream(response *http.Response, rest []byte) error {
 	switch {
-	case len(rest) > 0, a.result.Events == 0 && !endIsMarked(response):
+	case len(rest) > 0, a.result.Events == 0 && !wharfhttpconn.EndIsMarked(response):
 		return wharfhttpconn.ErrConnectionBroken
 	case a.result.Events == 0 && !a.Attempt.Resumes:
 		return errNoEvents
--- a/wharf/transport/wharfforwarder/forwarder_test.go
+++ b/wharf/transport/wharfforwarder/forwarder_test.go
@@ -50,7 +50,8 @@
 }
 
 // endpoint answers each request with the scripted parts; "close" and "reset" end the connection, "silence" pauses for a
-// second, and a leading "early" responds before the request body is read.
+// second, "end answer" closes the connection in one direction, "read" and "stall" read the request body or do not, and a leading
+// "early" responds before the request body is read.
 type endpoint struct {
 	t        *testing.T
 	address  netip.AddrPort
@@ -115,6 +116,16 @@
 				return
 			case "silence":
 				time.Sleep(time.Second)
+			case "short silence":
+				time.Sleep(20 * time.Millisecond)
+			case "end answer":
+				_ = conn.CloseWrite()
+			case "read":
+				_, _ = io.Copy(io.Discard, request.Body)
+				return
+			case "stall":
+				time.Sleep(6 * time.Second)
+				return
 			default:
 				if _, err := io.WriteString(conn, part); err != nil {
 					return
--- a/wharf/transport/wharfhttpconn/conn.go
+++ b/wharf/transport/wharfhttpconn/conn.go
@@ -59,15 +59,16 @@
 
 // Conn is a connection to an endpoint. It is not safe for concurrent use.
 type Conn struct {
-	Address    netip.AddrPort
-	Reused     bool // it has carried a request before
-	conn       *net.TCPConn
-	source     *boundedReader
-	reader     *bufio.Reader // reads from source
-	refused    []string      // IDs of requests that the endpoint has refused or failed on it
-	idleSince  time.Time
-	keepAlive  time.Duration // idle timeout announced by the endpoint, 0 if none
-	bodyResult chan error    // result of a body written in the background, nil if there is none
+	Address   netip.AddrPort
+	Reused    bool // it has carried a request before
+	conn      *net.TCPConn
+	source    *boundedReader
+	reader    *bufio.Reader // reads from source
+	refused   []string      // IDs of requests that the endpoint has refused or failed on it
+	idleSince time.Time
+	keepAlive time.Duration // idle timeout announced by the endpoint, 0 if none
+	readLimit time.Duration // time until the next part of the response must arrive
+	upload    *upload       // a request that is written in the background, nil if there is none
 }
 
 func dial(ctx context.Context, address netip.AddrPort, limit time.Duration) (*Conn, error) {
@@ -152,19 +153,16 @@
 		return fmt.Errorf("%w: %s %q, host %q", ErrInvalidRequest, r.Method, r.Target, r.Host)
 	}
 	head := r.head()
-	c.bodyResult = nil
+	c.upload = nil
 	if len(r.Body) <= maxInlineBodyBytes {
 		return c.write(append(head, r.Body...))
 	}
-	written := make(chan error, 1)
-	c.bodyResult = written
-	go func() {
-		err := c.write(head)
-		if err == nil {
-			err = c.write(r.Body)
+	c.upload = startUpload(func() error {
+		if err := c.write(head); err != nil {
+			return err
 		}
-		written <- err
-	}()
+		return c.write(r.Body)
+	})
 	return nil
 }
 
@@ -178,6 +176,7 @@
 // Receive reads the status and header of the response within the limit. It skips interim (1xx) responses, and up to
 // maxSkippedResponses that accept rejects as belonging to other requests.
 func (c *Conn) Receive(method string, limit time.Duration, accept func(*http.Response) bool) (*http.Response, error) {
+	c.readLimit = limit
 	if err := c.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrConnectionBroken, err)
 	}
@@ -202,12 +201,28 @@
 	defer func() { c.source.unbound = true }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			c.watchEnd(response)
+			return response, nil
 		}
 	}
 }
 
+// watchEnd makes the body of a response that ends with the connection fail unless the whole request was written.
+func (c *Conn) watchEnd(response *http.Response) {
+	if c.upload != nil && !EndIsMarked(response) {
+		response.Body = &unmarkedBody{ReadCloser: response.Body, conn: c}
+	}
+}
+
+// EndIsMarked reports whether something else than the end of the connection says where a response's body ends.
+func EndIsMarked(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
 // Discard reads the rest of a response's body. It returns an error, after which the connection must be closed, if that
 // fails or the body has more than limit bytes.
 func Discard(response *http.Response, limit int64) error {
@@ -223,6 +238,7 @@
 
 // SetReadTimeout limits the time until the next part of the response arrives.
 func (c *Conn) SetReadTimeout(limit time.Duration) {
+	c.readLimit = limit
 	_ = c.conn.SetReadDeadline(time.Now().Add(limit))
 }
 
@@ -235,7 +251,7 @@
 	var timeout net.Error
 	var broken *net.OpError
 	switch {
-	case errors.Is(err, ErrMalformed):
+	case errors.Is(err, ErrMalformed), errors.Is(err, ErrConnectionBroken), errors.Is(err, ErrIdleTimeout):
 		return err
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return fmt.Errorf("%w: %w", ErrIdleTimeout, err)
@@ -246,18 +262,9 @@
 	return fmt.Errorf("%w: %w", ErrMalformed, err)
 }
 
-// bodyWritten reports whether the whole request has been written successfully.
-func (c *Conn) bodyWritten() bool {
-	if c.bodyResult == nil {
-		return true
-	}
-	select {
-	case err := <-c.bodyResult:
-		c.bodyResult = nil
-		return err == nil
-	default:
-		return false
-	}
+// requestWritten reports whether the whole request has been written successfully.
+func (c *Conn) requestWritten() bool {
+	return c.upload == nil || c.upload.succeeded()
 }
 
 // reusable reports whether the connection is open and has no unread data, which would be unsolicited.
--- a/wharf/transport/wharfhttpconn/pool.go
+++ b/wharf/transport/wharfhttpconn/pool.go
@@ -144,7 +144,7 @@
 // Put returns a connection to the pool after the response was read to its end. It closes a connection that cannot carry
 // another request or exceeds the limit. keepAlive is the idle timeout announced by the endpoint, 0 if none.
 func (p *Pool) Put(c *Conn, response *http.Response, keepAlive time.Duration) {
-	if response.Close || len(c.refused) > maxRefused || !c.bodyWritten() || c.reader.Buffered() > 0 {
+	if response.Close || len(c.refused) > maxRefused || !c.requestWritten() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
