--- a/wharf/state/wharfcall/call.go
+++ b/wharf/state/wharfcall/call.go
@@ -104,3 +104,21 @@
 	forbidden := func(r rune) bool { return r <= ' ' || r == '\x7f' }
 	return strings.HasPrefix(target, "/") && strings.IndexFunc(target, forbidden) < 0
 }
+
+// Statuses of responses, as HTTP defines their classes.
+const (
+	minInterimStatus = 100
+	switchProtocols  = 101 // never asked for
+	minFinalStatus   = 200
+	maxFinalStatus   = 599
+)
+
+// IsInterimStatus reports whether another response follows one with the status.
+func IsInterimStatus(status int) bool {
+	return status >= minInterimStatus && status < minFinalStatus && status != switchProtocols
+}
+
+// IsFinalStatus reports whether a status is that of an answer.
+func IsFinalStatus(status int) bool {
+	return status >= minFinalStatus && status <= maxFinalStatus
+}
--- a/wharf/transport/wharfendpointclient/client.go
+++ b/wharf/transport/wharfendpointclient/client.go
@@ -17,6 +17,7 @@
 
 	"wagtailwharf.example/wharf/coordination/wharforder"
 	"wagtailwharf.example/wharf/protocol/wharfapi"
+	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfconfig"
 )
 
@@ -39,6 +40,8 @@
 	ErrResponseMismatch = errors.New("endpoint answered another request")
 	// ErrEncoded means that the response has a content encoding.
 	ErrEncoded = errors.New("endpoint encoded its answer")
+	// ErrInvalidStatus means that the status of the response is none of an answer.
+	ErrInvalidStatus = errors.New("endpoint answered with an invalid status")
 )
 
 // Client sends requests to endpoints, with a separate connection pool for each. It is safe for concurrent use.
@@ -96,8 +99,8 @@
 	Body       io.ReadCloser
 }
 
-// Send sends a request and returns the response once its header has arrived. It returns ErrResponseMismatch if the
-// header names another request, and ErrEncoded if the body is encoded.
+// Send sends a request and returns the response once its header has arrived. It returns ErrInvalidStatus if the status is none
+// of an answer, ErrResponseMismatch if the header names another request, and ErrEncoded if the body is encoded.
 func (c *Client) Send(ctx context.Context, request Request) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	progress := newProgress()
@@ -127,7 +130,7 @@
 	if !endIsMarked(response) {
 		body.progress = progress
 	}
-	err = errors.Join(checkRequestID(response, request.RequestID), checkEncoding(response))
+	err = errors.Join(checkStatus(response), checkRequestID(response, request.RequestID), checkEncoding(response))
 	if err != nil {
 		_ = body.Close()
 		return nil, trace.Wrap(err)
@@ -157,6 +160,14 @@
 	return httpRequest, nil
 }
 
+// checkStatus rejects a response whose status is none of an answer.
+func checkStatus(response *http.Response) error {
+	if !wharfcall.IsFinalStatus(response.StatusCode) {
+		return fmt.Errorf("%w: %03d", ErrInvalidStatus, response.StatusCode)
+	}
+	return nil
+}
+
 // endIsMarked reports whether something else than the end of the connection says where a response's body ends.
 func endIsMarked(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
--- a/wharf/transport/wharfendpointclient/client_test.go
+++ b/wharf/transport/wharfendpointclient/client_test.go
@@ -122,3 +122,13 @@
 		assert.NilError(t, response.Body.Close())
 	}
 }
+
+// TestImpossibleStatusIsRejected guards against a status that is none, with which a batch item is completed and a caller gets no
+// answer.
+func TestImpossibleStatusIsRejected(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		endpoint := serveRaw(t, func() string { return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nno" })
+		data, err := read(t, endpoint)
+		assert.Assert(t, errors.Is(err, ErrInvalidStatus), "%s: %v after %q", status, err, data)
+	}
+}
--- a/wharf/transport/wharfforwarder/upload_test.go
+++ b/wharf/transport/wharfforwarder/upload_test.go
@@ -1,6 +1,7 @@
 package wharfforwarder
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -67,3 +68,25 @@
 		})
 	}
 }
+
+// TestImpossibleStatusIsNoAnswer guards against a status that is none, which a caller would get or which would pass for an interim
+// answer whose body is then read as the next one.
+func TestImpossibleStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+99", "101", "600", "999", "-01"} {
+		for _, streaming := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, streaming %t", status, streaming), func(t *testing.T) {
+				t.Parallel()
+				smuggled := head("x", "Content-Length: 8\r\n") + "smuggled"
+				e := newEndpoint(t, func(string, int) []string {
+					return []string{fmt.Sprintf("HTTP/1.1 %s X\r\nId: x\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", status, len(smuggled), smuggled)}
+				})
+				x, sink := exchange(e, "x"), &recordingSink{}
+				x.Streaming = streaming
+				result := doPatiently(t, New(dialect{}, wharfhttpconn.NewPool()), x, sink)
+				assert.Equal(t, result.Outcome, wharfoutcome.Malformed, "%v", result.Err)
+				assert.Assert(t, errors.Is(result.Err, wharfhttpconn.ErrMalformed), "%v", result.Err)
+				assert.Equal(t, sink.headers, 0)
+			})
+		}
+	}
+}
--- a/wharf/transport/wharfhttpconn/conn.go
+++ b/wharf/transport/wharfhttpconn/conn.go
@@ -204,9 +204,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case wharfcall.IsFinalStatus(response.StatusCode):
 			c.watchEnd(response)
 			return response, nil
+		case !wharfcall.IsInterimStatus(response.StatusCode):
+			return nil, fmt.Errorf("%w: status %03d", ErrMalformed, response.StatusCode)
 		}
 	}
 }
--- a/wharf/transport/wharfstore/client.go
+++ b/wharf/transport/wharfstore/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"wagtailwharf.example/wharf/state/wharfcall"
 	"wagtailwharf.example/wharf/state/wharfpause"
 	"wagtailwharf.example/wharf/state/wharfrow"
 	"wagtailwharf.example/wharf/transport/wharfbody"
@@ -182,6 +183,8 @@
 
 func statusError(status int, data []byte) error {
 	switch {
+	case !wharfcall.IsFinalStatus(status):
+		return outcomeUnknown(fmt.Errorf("platform responded with invalid status %03d", status))
 	case status < http.StatusMultipleChoices:
 		return nil
 	case status == http.StatusConflict:
--- a/wharf/transport/wharfstore/client_test.go
+++ b/wharf/transport/wharfstore/client_test.go
@@ -90,3 +90,17 @@
 	err = down.Commit(context.Background(), commitOf("one", "key", 0))
 	assert.Assert(t, errors.Is(err, wharfrow.ErrUnavailable))
 }
+
+// TestInvalidStatusIsNoReply guards against a commit that counts as done because of a status that is none.
+func TestInvalidStatusIsNoReply(t *testing.T) {
+	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		assert.NilError(t, err)
+		_, _ = conn.Write([]byte("HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"))
+		_ = conn.Close()
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	err := client.Commit(ctx, commitOf("one", "key", 0))
+	assert.Assert(t, errors.Is(err, wharfrow.ErrUnknown), "%v", err)
+}
