Failures of items outlive the owner of their claim on our own interface

Change: claims have the attempts of items without a result, committed with the results every two seconds and when the claim is released. Items do not wait for the commit; what failed in the last two seconds before a kill is tried again.

--- a/wharf/coordination/wharfbatch/chunk.go
+++ b/wharf/coordination/wharfbatch/chunk.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,6 +27,7 @@
 	commitToken chan struct{} // semaphore that is held during a commit
 	remaining   int
 	uncommitted []itemResult
+	attempts    map[int]int // that failed, by index, of items without a result
 }
 
 type itemResult struct {
@@ -47,7 +49,9 @@
 func newChunk(ctx context.Context, open wharfjob.Open, claim wharfjob.Claim, key string, version uint64) *chunk {
 	c := &chunk{
 		open: open, number: claim.Chunk, claim: claim, key: key, version: version, commitToken: make(chan struct{}, 1),
+		attempts: map[int]int{},
 	}
+	maps.Copy(c.attempts, claim.Attempts)
 	c.ctx, c.stop = context.WithCancel(ctx)
 	c.commitToken <- struct{}{}
 	return c
@@ -66,7 +70,7 @@
 		if done[index] {
 			continue
 		}
-		it := &item{chunk: c, index: index}
+		it := &item{chunk: c, index: index, attempts: c.attempts[index]}
 		if err := json.Unmarshal(text, &it.line); err != nil {
 			return nil, trace.Wrap(err, "chunk %d line %d", c.number, index)
 		}
@@ -99,7 +103,13 @@
 	if outcome.StatusCode >= minErrorStatus {
 		result.Error = &wharfjob.ResultError{Code: "request_failed", Message: "the model refused the request"}
 	}
-	it.chunk.uncommitted = append(it.chunk.uncommitted, itemResult{index: it.index, result: result})
+	it.chunk.finish(it.index, result)
+}
+
+// finish keeps an item's result until it is committed.
+func (c *chunk) finish(index int, result wharfjob.Result) {
+	delete(c.attempts, index)
+	c.uncommitted = append(c.uncommitted, itemResult{index: index, result: result})
 }
 
 // recordFailure records a failed attempt and reports whether it was the last one, in which case the item becomes an
@@ -118,17 +128,18 @@
 	it.attempts++
 	poison := errors.Is(err, ErrPoison)
 	if it.attempts < maxAttempts && !poison {
+		it.chunk.attempts[it.index] = it.attempts
 		return false
 	}
 	code := "attempts_exhausted"
 	if poison {
 		code = "crashes_endpoints"
 	}
-	it.chunk.uncommitted = append(it.chunk.uncommitted, itemResult{index: it.index, result: wharfjob.Result{
+	it.chunk.finish(it.index, wharfjob.Result{
 		ID:       "batch_req_" + uuid.NewString(),
 		CustomID: it.line.CustomID,
 		Error:    &wharfjob.ResultError{Code: code, Message: err.Error()},
-	}})
+	})
 	return true
 }
 
--- a/wharf/coordination/wharfbatch/commit.go
+++ b/wharf/coordination/wharfbatch/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,7 +32,7 @@
 	})
 }
 
-// commitAll commits the new results of every chunk, so that a crash loses little work, and releases the chunks of
+// commitAll commits the new results and failures of every chunk, so that a crash loses little work, and releases the chunks of
 // services for which this host no longer schedules any endpoint.
 func (r *Runner) commitAll(ctx context.Context) {
 	services := r.services()
@@ -77,7 +78,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	stale := time.Now().Unix()-c.claim.Heartbeat > int64(heartbeatInterval/time.Second)
-	return c.remaining > 0 && (len(c.uncommitted) > 0 || stale)
+	return c.remaining > 0 && (len(c.uncommitted) > 0 || stale || !maps.Equal(c.attempts, c.claim.Attempts))
 }
 
 // commitChunk commits the chunk's results so far and, unless owner is zero, moves the claim to owner.
@@ -127,12 +128,13 @@
 	c.commitToken <- struct{}{}
 }
 
-// storeResults stores the uncommitted results in an object and returns the claim with that object added.
+// storeResults stores the uncommitted results in an object and returns the claim with that object and the failures so far.
 func (r *Runner) storeResults(ctx context.Context, c *chunk) (wharfjob.Claim, error) {
 	r.mu.Lock()
 	results := c.uncommitted
 	c.uncommitted = nil
 	claim := c.claim
+	claim.Attempts = maps.Clone(c.attempts)
 	r.mu.Unlock()
 	claim.Heartbeat = time.Now().Unix()
 	if len(results) > 0 {
--- a/wharf/state/wharfjob/rows.go
+++ b/wharf/state/wharfjob/rows.go
@@ -77,6 +77,8 @@
 	Chunk     int    `json:"chunk"`
 	Parts     []Part `json:"parts"`
 	Heartbeat int64  `json:"beat"` // incremented as a heartbeat of the owner
+	// Attempts is the number of failed attempts at items without a result, by item index in the chunk.
+	Attempts map[int]int `json:"attempts,omitempty"`
 }
 
 // Done is the row of a chunk in which every item has a result.
