--- a/wharf/coordination/wharfjobrunner/failures_test.go
+++ b/wharf/coordination/wharfjobrunner/failures_test.go
@@ -32,8 +32,9 @@
 		var failures atomic.Int32
 		incarnation := uint64(1)
 		for ; incarnation <= 4; incarnation++ {
-			h := newTestHost(store, "a", incarnation, 2)
-			h.engine.respond = failAfter(2500*time.Millisecond, &failures)
+			h := newTestHost(store, "a", incarnation, 2, func(h *testHost) {
+				h.engine.respond = failAfter(2500*time.Millisecond, &failures)
+			})
 			if incarnation == 1 {
 				submit(t, h, "job", 1)
 			}
@@ -71,10 +72,11 @@
 		time.Sleep(3900 * time.Millisecond) // one lost connection, two failures, and a fourth attempt that runs
 		a.runner.Close(t.Context())
 		a.kill()
-		b := newTestHost(store, "b", 1, 2)
-		b.hear(wharfgossip.Peer{Host: "a", Incarnation: 1, Presence: wharfgossip.Ended})
 		var failures atomic.Int32
-		b.engine.respond = failAfter(time.Second, &failures)
+		b := newTestHost(store, "b", 1, 2, func(h *testHost) {
+			h.engine.respond = failAfter(time.Second, &failures)
+			h.hear(wharfgossip.Peer{Host: "a", Incarnation: 1, Presence: wharfgossip.Ended})
+		})
 		time.Sleep(10 * time.Second)
 		assert.DeepEqual(t, output(t, b, "job"), map[string]string{"job-0": ""})
 		assert.Equal(t, a.started(), 4)
