--- a/proofs/mutants.sh
+++ b/proofs/mutants.sh
@@ -318,5 +318,20 @@
 	's/min\(itemsSize\(items\), s\.options\.Memory\.Size\(\)\)/0 * itemsSize(items)/' $untrusted TestManyLargeBatchJobs
 mutant parts-not-bounded wharf/transport/wharffrontend/jobs.go \
 	's/if parts > maxParts \{/if false {/' $untrusted TestBatchJobsOfManyParts
+runner=./wharf/coordination/wharfjobrunner
+removed=wharf/coordination/wharfjobrunner/routes.go
+mutant removed-routes-wait $removed 's/return table\.Version > job\.ConfigurationVersion/return false/' $runner TestItemsOfRemovedRouteAreGivenUp
+mutant older-configurations-decide $removed 's/return table\.Version > job\.ConfigurationVersion/return true/' $runner \
+	TestItemsWaitForTheVersionWithTheirRoute
+mutant successors-ignored wharf/state/wharfroute/table.go 's/r != nil && r\.Kind == Batch \{\n\t\treturn r\n\t\}\n\treturn nil/false \&\& r != nil {\n\t\treturn r\n\t}\n\treturn nil/' \
+	$runner TestItemsOfReplacedRouteAreRun
+mutant failures-not-awaited wharf/coordination/wharfjobrunner/start.go 's/if i\.hasUnrecordedFailures\(\) \{/if false {/' $runner \
+	TestItemWaitsUntilItsFailureIsStored
+mutant failures-not-adopted wharf/coordination/wharfjobrunner/runner.go 's/failures := job\.FailuresOf\(index\)/failures := 0/' $runner \
+	'TestFailuresOutliveTheirOwner|TestFailuresOutliveAPlannedStop'
+mutant upload-errors-ignored wharf/transport/wharfhttpconn/upload.go 's/failure != nil \{/failure != nil \&\& false {/' \
+	./wharf/transport/wharfforwarder TestResetDuringUploadIsNoEnd
+mutant any-status-is-interim wharf/state/wharfcall/call.go 's/status >= minInterimStatus && status < minFinalStatus && status != switchProtocols/status < minFinalStatus/' \
+	./wharf/transport/wharfforwarder TestImpossibleStatusIsNoAnswer
 
 exit $failed
